--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -31,13 +31,6 @@
   return spot ? type.spot_price : type.price;
 }
 
-const cloud::MachineType* type_named(const Cluster& cluster, Index type) {
-  for (const auto& kind : cluster.catalog) {
-    if (kind.name == cluster.types[type]) return &kind;
-  }
-  return nullptr;
-}
-
 int slots_in(const Resources& room, const Resources& need) {
   double slots = 1e6;
   if (need.cpus > 0) slots = std::min(slots, (room.cpus + 1e-6) / need.cpus);
@@ -133,7 +126,7 @@
 }
 
 double Buyer::price(const Cluster& cluster, const Pool& pool) const {
-  const auto* type = type_named(cluster, pool.type);
+  const auto* type = cluster.kind(pool.type);
   return type == nullptr ? 1 : price_per_hour(*type, pool.spot);
 }
 
@@ -199,7 +192,7 @@
         const Index t = cluster.types.find(type.name);
         for (const bool spot : {true, false}) {
           if (spot && !job.spec.spot) continue;
-          if (!cluster.is_kept_from(job, type, spot)) pools.push_back({t, z, spot});
+          if (!cluster.is_kept_from(job, t, spot)) pools.push_back({t, z, spot});
         }
       }
     }
@@ -240,7 +233,7 @@
     rooms.push_back({{host->type, host->zone, host->spot}, {type->cpus, type->gpus, type->ram_gb}});
   }
   for (const auto& [pool, book] : books_) {
-    const auto* type = type_named(cluster, pool.type);
+    const auto* type = cluster.kind(pool.type);
     for (int i = 0; type != nullptr && i < book.asked; ++i) {
       rooms.push_back({pool, {type->cpus, type->gpus, type->ram_gb}});
     }
@@ -271,7 +264,7 @@
   std::vector<Holding> pools;
   for (std::size_t i = 0; i < group.pools.size(); ++i) {
     const Pool& pool = group.pools[i];
-    const auto* type = type_named(cluster, pool.type);
+    const auto* type = cluster.kind(pool.type);
     Holding holding;
     holding.held = amounts(group.need, group.slots[i]);
     holding.machines = group.machines[i];
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -24,6 +24,8 @@
 // A report's answer waits this long for the starts that it should carry to become durable.
 constexpr double kParkFor = 0.4;
 constexpr double kPlanEvery = 0.5;
+// At hundreds of machines a report comes every few milliseconds; each asks for a plan.
+constexpr double kPlanAtMostEvery = 0.1;
 constexpr double kUpkeepEvery = 0.5;
 // Arrivals and losses ask for machines at once, but not more often than this.
 constexpr double kBuyAtMostEvery = 1.0;
@@ -109,7 +111,8 @@
   std::vector<Parked> still;
   for (Parked& parked : parked_) {
     const Host* host = cluster_.host(parked.host);
-    if (host != nullptr && now < parked.until && waits_for_commit(*host)) {
+    const bool planned = parked.since <= planned_at_;
+    if (host != nullptr && now < parked.until && (!planned || waits_for_commit(*host))) {
       still.push_back(std::move(parked));
     } else {
       answer(parked.host, parked.answer, now);
@@ -130,7 +133,7 @@
     return true;
   }
   replan_ = true;
-  parked_.push_back({report.host, std::move(answer), now + kParkFor});
+  parked_.push_back({report.host, std::move(answer), now, now + kParkFor});
   return true;
 }
 
@@ -258,7 +261,6 @@
     const Index index = cluster_.add_host(machine.name, now);
     cluster_.describe_host(index, machine.type, machine.zone, machine.spot);
     Host& host = *cluster_.hosts[index];
-    host.listed = true;
     // Whoever learnt of the machine from a report or a record does not know its age.
     host.rented_at = std::min(host.rented_at, now - machine.held_s);
     if (fresh) rebuy_ = true;
@@ -319,12 +321,11 @@
   for (const std::string& name : machines) gone(name, now);
 }
 
-void Leader::give_back(Index index, const char* why, double now) {
+void Leader::give_back(Index index, const char* why) {
   Host& host = *cluster_.hosts[index];
   if (host.phase == HostPhase::leaving) return;
   spdlog::info("machine {} goes back: {}", host.name, why);
   host.phase = HostPhase::leaving;
-  host.returned_at = now;
   out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}});
 }
 
@@ -349,14 +350,14 @@
     if (host->phase == HostPhase::booting) {
       const double patience = kNeverBoots * (type == nullptr ? 60 : type->boot_s);
       if (now - std::max(host->rented_at, since_ - patience / 2) > patience) {
-        give_back(i, "it does not come up", now);
+        give_back(i, "it does not come up");
       }
       continue;
     }
     if (is_silent(*host) && (!cut || now - std::max(host->heard_at, since_) > kCutLasts * silent)) {
-      give_back(i, "it is silent", now);
+      give_back(i, "it is silent");
     } else if (host->draining && host->reclaim_at == placement::kNever && host->attempts.empty()) {
-      give_back(i, "it does not work", now);
+      give_back(i, "it does not work");
     }
   }
   for (auto at = tombstones_.begin(); at != tombstones_.end();) {
@@ -368,7 +369,7 @@
   if (cluster_.catalog.empty()) return;
   buyer_.note_exposure(cluster_, now);
   for (const Index index : buyer_.surplus(cluster_, now)) {
-    give_back(index, "it is not needed", now);
+    give_back(index, "it is not needed");
   }
   for (const acquire::Wish& wish : buyer_.wishes(cluster_, now)) {
     cloud::Hire hire;
@@ -393,7 +394,8 @@
 }
 
 Outbox Leader::advance(double now) {
-  if (replan_ || now - planned_at_ > kPlanEvery) {
+  const double since_plan = now - planned_at_;
+  if ((replan_ && since_plan >= kPlanAtMostEvery) || since_plan > kPlanEvery) {
     replan_ = false;
     planned_at_ = now;
     if (placement::plan(cluster_, now) > 0) rebuy_ = true;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -67,12 +67,13 @@
   struct Parked {
     std::string host;
     Answerer answer;
+    double since = 0;
     double until = 0;
   };
 
   void upkeep(double now);
   void buy(double now);
-  void give_back(Index host, const char* why, double now);
+  void give_back(Index host, const char* why);
   void answer(const std::string& host, const Answerer& answer, double now);
   void answer_parked(double now);
   bool waits_for_commit(const placement::Host& host) const;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -59,14 +59,24 @@
     types.add(type.name);
     for (const auto& zone : type.zones) zones.add(zone);
   }
+  kinds_.assign(types.size(), nullptr);
+  for (const auto& type : catalog) kinds_[types.find(type.name)] = &type;
+  for (const auto& job : jobs) {
+    if (job) measure(*job);
+  }
 }
 
-const cloud::MachineType* Cluster::type_of(const Host& host) const {
-  if (host.type == kNone) return nullptr;
-  for (const auto& type : catalog) {
-    if (type.name == types[host.type]) return &type;
+// Asked for every job and machine at every plan, so it is worked out once.
+void Cluster::measure(Job& job) const {
+  job.fits.assign(kinds_.size(), false);
+  job.smallest = kNone;
+  for (Index type = 0; type < kinds_.size(); ++type) {
+    if (kinds_[type] == nullptr || !jobs::fits_type(job.spec, *kinds_[type])) continue;
+    job.fits[type] = true;
+    if (job.smallest == kNone || kinds_[type]->cpus < kinds_[job.smallest]->cpus) {
+      job.smallest = type;
+    }
   }
-  return nullptr;
 }
 
 Index Cluster::add_job(const jobs::Header& header, std::uint64_t stamp, double now) {
@@ -94,6 +104,7 @@
   }
   if (job.spec.zone) job.zone = zones.add(*job.spec.zone);
   job.start_by = start_by(job);
+  measure(job);
   job_index[job.spec.id] = index;
   jobs[index] = std::move(made);
   if (header.cancelled) cancel(index, now);
@@ -260,43 +271,24 @@
   notice_over(index);
 }
 
-namespace {
-
-// One task takes more than half of the machine.
-bool fills(const Job& job, const cloud::MachineType& type) {
+bool Cluster::fills(const Job& job, Index index) const {
+  const cloud::MachineType& type = *kinds_[index];
   return job.need.cpus > type.cpus / 2 || job.need.ram_gb > type.ram_gb / 2 ||
          (type.gpus > 0 && job.need.gpus > type.gpus / 2);
 }
 
-const cloud::MachineType* smallest_fit(const cloud::Catalog& catalog, const jobs::Spec& spec) {
-  const cloud::MachineType* smallest = nullptr;
-  for (const auto& type : catalog) {
-    if (jobs::fits_type(spec, type) && (smallest == nullptr || type.cpus < smallest->cpus)) {
-      smallest = &type;
-    }
-  }
-  return smallest;
-}
-
-}  // namespace
-
 void Cluster::keep_for_large(double now) {
   std::erase_if(kept_for_large, [&](const auto& kept) { return kept.second < now; });
   for (const auto& job : jobs) {
-    if (!job || job->cancelled) continue;
-    const auto* type = smallest_fit(catalog, job->spec);
-    if (type != nullptr && fills(*job, *type)) {
-      const Index index = types.find(type->name);
-      kept_for_large[{index, false}] = now + kKeepForLarge_s;
-      if (job->spec.spot) kept_for_large[{index, true}] = now + kKeepForLarge_s;
-    }
+    if (!job || job->cancelled || job->smallest == kNone || !fills(*job, job->smallest)) continue;
+    kept_for_large[{job->smallest, false}] = now + kKeepForLarge_s;
+    if (job->spec.spot) kept_for_large[{job->smallest, true}] = now + kKeepForLarge_s;
   }
 }
 
-bool Cluster::is_kept_from(const Job& job, const cloud::MachineType& type, bool spot) const {
-  if (!kept_for_large.contains({types.find(type.name), spot}) || fills(job, type)) return false;
-  const auto* smallest = smallest_fit(catalog, job.spec);
-  return smallest != nullptr && smallest->cpus < type.cpus;
+bool Cluster::is_kept_from(const Job& job, Index type, bool spot) const {
+  if (!kept_for_large.contains({type, spot}) || fills(job, type)) return false;
+  return job.smallest != kNone && kinds_[job.smallest]->cpus < kinds_[type]->cpus;
 }
 
 void Cluster::release_unsent(Index index, double now) {
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -91,6 +91,9 @@
   double seen_at = 0;
   // By when its last task must have started for each of the things expected of the job; ascending.
   std::vector<double> start_by;
+  // What the catalog says of it, by type: whether one task fits, and the smallest type that holds it.
+  std::vector<bool> fits;
+  Index smallest = kNone;
   // Display counts as last written.
   std::uint32_t told_done = 0;
   std::uint32_t told_running = 0;
@@ -145,8 +148,7 @@
   double heard_at = -1;  // the last report
   std::uint64_t tenure = 0;
   std::uint64_t tick = 0;
-  std::uint64_t answered_tick = 0;  // newest /v1/report seen in this tenure
-  bool ours = false;                // the worker has seen our baton
+  bool ours = false;  // the worker has seen our baton
   double reclaim_at = kNever;
   Resources free;
   std::set<TaskRef> attempts;
@@ -154,9 +156,7 @@
   std::vector<Exited> exited;
   std::vector<Exited> strangers;  // run there without an attempt of ours
   double idle_since = 0;
-  bool listed = false;
   std::uint32_t faults = 0;
-  double returned_at = -1;
 };
 
 struct Pool {
@@ -201,7 +201,11 @@
   std::map<std::pair<Index, bool>, double> kept_for_large;
 
   void set_catalog(const cloud::Catalog& fresh);
-  const cloud::MachineType* type_of(const Host& host) const;
+  // The catalog's entry, or nothing for a type that it does not list.
+  const cloud::MachineType* kind(Index type) const {
+    return type < kinds_.size() ? kinds_[type] : nullptr;
+  }
+  const cloud::MachineType* type_of(const Host& host) const { return kind(host.type); }
 
   std::size_t chunk_tasks() const { return chunk_tasks_; }
   Index add_job(const jobs::Header& header, std::uint64_t stamp, double now);
@@ -225,7 +229,7 @@
   // Notes the types that large tasks need, and forgets those that none has needed for long.
   void keep_for_large(double now);
   // Whether the type is kept for larger tasks than the job's.
-  bool is_kept_from(const Job& job, const cloud::MachineType& type, bool spot) const;
+  bool is_kept_from(const Job& job, Index type, bool spot) const;
   void touch(Index job, std::uint32_t task);
   bool chunk_is_stored(const Job& job, std::uint32_t task) const;
   jobs::ChunkRecord chunk_record(const Job& job, std::size_t chunk) const;
@@ -238,8 +242,12 @@
   void charge(const Job& job, double sign);
   std::vector<double> start_by(const Job& job) const;
   void notice_over(Index job);
+  void measure(Job& job) const;
+  // One task takes more than half of the machine.
+  bool fills(const Job& job, Index type) const;
 
   std::size_t chunk_tasks_;
+  std::vector<const cloud::MachineType*> kinds_;  // by type
   std::vector<Index> free_jobs_;
 };
 
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -12,6 +12,7 @@
 constexpr double kLeastNotice = 1.5;
 // A job that is late goes first again after this many times what was expected of it.
 constexpr double kPatience = 3;
+constexpr double kSlack = 1e-6;
 
 bool usable(const Cluster& cluster, const Host& host, double now) {
   return host.phase == HostPhase::up && !host.draining && host.type != kNone &&
@@ -35,27 +36,47 @@
   return at != job.failed_on.end() && now < at->second;
 }
 
-// Machines in the order in which a task of the job tries them: spot before ordinary for work that
-// may use either, small before large so that large ones stay whole, and among equals those that
-// hold the image already.
-std::vector<Index> candidates(const Cluster& cluster, const Job& job, double now) {
+// Machines with room, in the order in which tasks try them: spot before ordinary for work that may
+// use either, small before large so that large ones stay whole. Worked out once a plan: at hundreds
+// of machines and dozens of jobs, doing so for every job took most of a leader's processor time.
+std::vector<Index> open_machines(const Cluster& cluster, double now) {
   std::vector<Index> found;
   for (Index i = 0; i < cluster.hosts.size(); ++i) {
     const auto& host = cluster.hosts[i];
-    if (host && usable(cluster, *host, now) && allows(cluster, job, *host) &&
-        !avoided(job, i, now) && host->free.holds(job.need)) {
+    if (host && usable(cluster, *host, now) && host->free.cpus > kSlack &&
+        cluster.type_of(*host) != nullptr) {
       found.push_back(i);
     }
   }
   const auto rank = [&](Index i) {
     const Host& host = *cluster.hosts[i];
-    return std::tuple(!host.spot, cluster.type_of(host)->cpus,
-                      !host.images.contains(job.spec.image), i);
+    return std::tuple(!host.spot, cluster.type_of(host)->cpus, host.type, i);
   };
   std::sort(found.begin(), found.end(), [&](Index a, Index b) { return rank(a) < rank(b); });
   return found;
 }
 
+// Of these, the ones that could take a task of the job now; among equals those that hold its image
+// already come first.
+std::vector<Index> candidates(const Cluster& cluster, const Job& job, const std::vector<Index>& open,
+                              double now) {
+  std::vector<Index> found;
+  std::vector<Index> without_image;
+  std::pair<bool, Index> kind{false, kNone};
+  const auto close_kind = [&] {
+    found.insert(found.end(), without_image.begin(), without_image.end());
+    without_image.clear();
+  };
+  for (const Index i : open) {
+    const Host& host = *cluster.hosts[i];
+    if (!host.free.holds(job.need) || !allows(cluster, job, host) || avoided(job, i, now)) continue;
+    if (std::exchange(kind, {host.spot, host.type}) != kind) close_kind();
+    (host.images.contains(job.spec.image) ? found : without_image).push_back(i);
+  }
+  close_kind();
+  return found;
+}
+
 std::uint32_t copies_on(const Host& host, const Resources& need) {
   double copies = 1e6;
   if (need.cpus > 0) copies = std::min(copies, (host.free.cpus + 1e-6) / need.cpus);
@@ -98,18 +119,20 @@
   return best;
 }
 
-int place_array(Cluster& cluster, Index index, double now) {
+int place_array(Cluster& cluster, Index index, const std::vector<Index>& open, double now) {
   Job& job = *cluster.jobs[index];
+  std::uint32_t task = cluster.next_pending(job, 0);
+  if (task == job.spec.tasks) return 0;
+  std::vector<Index> hosts = candidates(cluster, job, open, now);
+  if (hosts.empty()) return 0;
   auto in_use = zones_in_use(cluster, job);
   if (!in_use) return 0;
-  std::vector<Index> hosts = candidates(cluster, job, now);
   if (job.spec.one_zone && in_use->empty()) {
     const Index zone = best_zone(cluster, job, hosts);
     std::erase_if(hosts, [&](Index i) { return cluster.hosts[i]->zone != zone; });
   }
   ZoneRules rules(job, std::move(*in_use));
   int placed = 0;
-  std::uint32_t task = cluster.next_pending(job, 0);
   const std::uint64_t attempt = job.last_attempt + 1;
   for (const Index host : hosts) {
     while (task < job.spec.tasks && cluster.hosts[host]->free.holds(job.need) &&
@@ -124,9 +147,11 @@
 }
 
 // All tasks of a gang or none; while it still gathers, replacements join the same attempt.
-int place_gang(Cluster& cluster, Index index, double now) {
+int place_gang(Cluster& cluster, Index index, const std::vector<Index>& open, double now) {
   Job& job = *cluster.jobs[index];
   const bool gathering = !job.attempts.empty();
+  const auto wanted = job.spec.tasks - static_cast<std::uint32_t>(job.attempts.size());
+  if (wanted == 0) return 0;
   if (gathering) {
     if (job.gang_started) return 0;
     for (const auto& [task, attempt] : job.attempts) {
@@ -135,7 +160,7 @@
   }
   auto in_use = zones_in_use(cluster, job);
   if (!in_use) return 0;
-  std::vector<Index> hosts = candidates(cluster, job, now);
+  std::vector<Index> hosts = candidates(cluster, job, open, now);
   if (gathering) {
     // A machine that still lists the attempt would ignore a start with the same number.
     std::erase_if(hosts, [&](Index i) {
@@ -144,8 +169,7 @@
                          [&](const Exited& e) { return e.job == job.spec.id; });
     });
   }
-  const auto wanted = job.spec.tasks - static_cast<std::uint32_t>(job.attempts.size());
-  if (wanted == 0 || !cluster.within_limit(job, wanted)) return 0;
+  if (!cluster.within_limit(job, wanted)) return 0;
   if (job.spec.one_zone && in_use->empty()) {
     const Index zone = best_zone(cluster, job, hosts);
     std::erase_if(hosts, [&](Index i) { return cluster.hosts[i]->zone != zone; });
@@ -216,10 +240,6 @@
   }
 }
 
-}  // namespace
-
-namespace {
-
 double urgency(const Job& job, double now) {
   const double next = job.next_start_by(now);
   if (next != kNever || job.start_by.empty()) return next;
@@ -230,10 +250,9 @@
 }  // namespace
 
 bool allows(const Cluster& cluster, const Job& job, const Host& host) {
-  const cloud::MachineType* type = cluster.type_of(host);
-  return type != nullptr && (job.spec.spot || !host.spot) &&
-         (job.zone == kNone || job.zone == host.zone) && jobs::fits_type(job.spec, *type) &&
-         !cluster.is_kept_from(job, *type, host.spot);
+  return cluster.type_of(host) != nullptr && (job.spec.spot || !host.spot) &&
+         (job.zone == kNone || job.zone == host.zone) && job.fits[host.type] &&
+         !cluster.is_kept_from(job, host.type, host.spot);
 }
 
 std::vector<Index> service_order(const Cluster& cluster, double now) {
@@ -269,13 +288,15 @@
 int plan(Cluster& cluster, double now) {
   cluster.keep_for_large(now);
   heed_notices(cluster, now);
+  const std::vector<Index> open = open_machines(cluster, now);
   int placed = 0;
   for (const Index index : service_order(cluster, now)) {
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
     if (gang) stop_broken_gang(cluster, index);
     if (now < job.not_before) continue;
-    placed += gang ? place_gang(cluster, index, now) : place_array(cluster, index, now);
+    placed += gang ? place_gang(cluster, index, open, now)
+                   : place_array(cluster, index, open, now);
   }
   return placed;
 }
