Gangs choose zones by what other gangs leave; machines go back together

Ruled out: processor time (the same without a charge for it), the cloud's capacity in other zones. Also: surplus machines of one pool are alike, so how many can go is found by halving instead of valuing the whole fleet once for each.

--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -76,6 +76,8 @@
 
 Buyer::Buyer(const settings::Policy& policy) : policy_(policy) {}
 
+Amounts Group::goal() const { return {need.cpus * tasks, need.gpus * tasks, need.ram_gb * tasks}; }
+
 void Buyer::note_prices(const Cluster& cluster, double now) {
   for (const auto& type : cluster.catalog) {
     for (const auto& zone : type.zones) {
@@ -135,40 +137,94 @@
   return book == books_.end() || (book->second.asked == 0 && now >= book->second.refused_until);
 }
 
-// Machines of several zones together do not help such a job, however many they are: the zone where
-// it runs already, else the one that holds most of it and either suffices or may still grow.
-Index Buyer::zone_for(const Cluster& cluster, const Job& job, double now) const {
-  if (!job.spec.one_zone || job.spec.tasks == 1 || job.zone != kNone) return job.zone;
-  if (!job.attempts.empty()) return cluster.hosts[job.attempts.begin()->second.host]->zone;
-  std::map<Index, std::uint32_t> slots;
-  std::map<Index, bool> may_grow;
-  for (const auto& type : cluster.catalog) {
-    if (!jobs::fits_type(job.spec, type)) continue;
-    for (const auto& name : type.zones) {
-      const Index zone = cluster.zones.find(name);
-      const Index index = cluster.types.find(type.name);
-      slots[zone];
-      may_grow[zone] = may_grow[zone] || may_ask({index, zone, false}, now) ||
-                       (job.spec.spot && may_ask({index, zone, true}, now));
+// Which zone each job that must share one gets. Machines of several zones together do not help such
+// a job, however many they are, and those that one job will use do not help the next: looked at one
+// by one, all gangs found the same zone large enough, and two thirds of the machines that a grown
+// site had for them were never asked for.
+class ZoneChoice {
+ public:
+  ZoneChoice(const Buyer& buyer, const Cluster& cluster, double now)
+      : buyer_(buyer), cluster_(cluster), now_(now) {
+    for (const auto& host : cluster.hosts) {
+      if (host && counts(cluster, *host, now)) ++spare_[{host->type, host->zone, host->spot}];
     }
   }
-  for (const auto& host : cluster.hosts) {
-    if (!host || !counts(cluster, *host, now) || !placement::allows(cluster, job, *host)) continue;
-    const auto* type = cluster.type_of(*host);
-    slots[host->zone] += slots_in({type->cpus, type->gpus, type->ram_gb}, job.need);
+
+  // kNone: any zone, or none that helps.
+  Index choose(const Job& job) {
+    if (!job.spec.one_zone || job.spec.tasks == 1) return job.zone;
+    Index zone = job.zone;
+    if (zone == kNone && !job.attempts.empty()) {
+      zone = cluster_.hosts[job.attempts.begin()->second.host]->zone;
+    }
+    if (zone == kNone) zone = best_for(job);
+    if (zone != kNone) claim(job, zone);
+    return zone;
   }
-  Index best = kNone;
-  for (const auto& [zone, held] : slots) {
-    const bool serves = held >= job.spec.tasks || may_grow[zone];
-    if (serves && (best == kNone || held > slots[best])) best = zone;
+
+ private:
+  template <class Use>
+  void each_pool(const Job& job, Index zone, Use use) const {
+    for (Index type = 0; type < job.fits.size(); ++type) {
+      if (!job.fits[type]) continue;
+      for (const bool spot : {true, false}) {
+        if (spot && !job.spec.spot) continue;
+        const auto* kind = cluster_.kind(type);
+        use(Pool{type, zone, spot}, slots_in({kind->cpus, kind->gpus, kind->ram_gb}, job.need));
+      }
+    }
   }
-  return best;
-}
 
-std::vector<Group> Buyer::groups(const Cluster& cluster, double now,
-                                 const std::vector<bool>& without) const {
+  // Where it could start at once, before where machines must come first.
+  Index best_for(const Job& job) const {
+    Index best = kNone;
+    std::pair<bool, int> most;
+    for (Index zone = 0; zone < cluster_.zones.size(); ++zone) {
+      const auto [slots, may_grow] = look_at(job, zone);
+      const bool enough = slots >= static_cast<int>(job.spec.tasks);
+      if (!enough && !may_grow) continue;
+      if (best == kNone || std::pair(enough, slots) > most) {
+        best = zone;
+        most = {enough, slots};
+      }
+    }
+    return best;
+  }
+
+  std::pair<int, bool> look_at(const Job& job, Index zone) const {
+    int slots = 0;
+    bool may_grow = false;
+    each_pool(job, zone, [&](const Pool& pool, int each) {
+      const auto& offered = cluster_.kind(pool.type)->zones;
+      if (std::find(offered.begin(), offered.end(), cluster_.zones[zone]) == offered.end()) return;
+      const auto at = spare_.find(pool);
+      if (at != spare_.end()) slots += at->second * each;
+      may_grow = may_grow || buyer_.may_ask(pool, now_);
+    });
+    return {slots, may_grow};
+  }
+
+  void claim(const Job& job, Index zone) {
+    int left = static_cast<int>(job.spec.tasks);
+    each_pool(job, zone, [&](const Pool& pool, int each) {
+      const auto at = spare_.find(pool);
+      if (at == spare_.end() || left <= 0) return;
+      const int taken = std::min(at->second, (left + each - 1) / each);
+      at->second -= taken;
+      left -= taken * each;
+    });
+  }
+
+  const Buyer& buyer_;
+  const Cluster& cluster_;
+  double now_;
+  std::map<Pool, int> spare_;
+};
+
+std::vector<Group> Buyer::demand(const Cluster& cluster, double now) const {
   std::map<std::vector<Pool>, Group> by_pools;
   std::vector<placement::Usage> claimed(cluster.used.size());
+  ZoneChoice zones(*this, cluster, now);
   for (const Index index : placement::service_order(cluster, now)) {
     const Job& job = *cluster.jobs[index];
     if (now < job.not_before) continue;
@@ -183,7 +239,7 @@
     claimed[job.team].cpus += tasks * job.need.cpus;
     claimed[job.team].gpus += tasks * job.need.gpus;
     std::vector<Pool> pools;
-    const Index only = zone_for(cluster, job, now);
+    const Index only = zones.choose(job);
     for (const auto& type : cluster.catalog) {
       if (!jobs::fits_type(job.spec, type)) continue;
       for (const auto& zone : type.zones) {
@@ -220,7 +276,11 @@
   // The most particular work claims its machines first.
   std::stable_sort(found.begin(), found.end(),
                    [](const Group& a, const Group& b) { return a.pools.size() < b.pools.size(); });
+  return found;
+}
 
+void Buyer::cover(const Cluster& cluster, double now, const std::vector<bool>& without,
+                  std::vector<Group>& groups) const {
   struct Room {
     Pool pool;
     Resources left;
@@ -241,9 +301,9 @@
   // Small machines first, as tasks are placed: large ones stay for work that needs them.
   std::stable_sort(rooms.begin(), rooms.end(),
                    [](const Room& a, const Room& b) { return a.left.cpus < b.left.cpus; });
-  for (Group& group : found) {
-    group.slots.resize(group.pools.size());
-    group.machines.resize(group.pools.size());
+  for (Group& group : groups) {
+    group.slots.assign(group.pools.size(), 0);
+    group.machines.assign(group.pools.size(), 0);
     double uncovered = group.tasks;
     for (Room& room : rooms) {
       const auto at = std::find(group.pools.begin(), group.pools.end(), room.pool);
@@ -257,7 +317,6 @@
       uncovered -= claimed_slots;
     }
   }
-  return found;
 }
 
 std::vector<Holding> Buyer::holdings(const Cluster& cluster, const Group& group, double now) const {
@@ -298,10 +357,11 @@
 
 std::vector<Wish> Buyer::wishes(const Cluster& cluster, double now) const {
   std::map<Pool, int> wanted;
-  for (const Group& group : groups(cluster, now, {})) {
+  std::vector<Group> groups = demand(cluster, now);
+  cover(cluster, now, {}, groups);
+  for (const Group& group : groups) {
     const Terms terms{policy_.target, policy_.gamma, policy_.horizon_s};
-    const Amounts goal{group.need.cpus * group.tasks, group.need.gpus * group.tasks,
-                       group.need.ram_gb * group.tasks};
+    const Amounts goal = group.goal();
     std::vector<Holding> pools = holdings(cluster, group, now);
     const auto rho = correlations(group.pools);
     const bool spot = std::any_of(group.pools.begin(), group.pools.end(),
@@ -342,14 +402,12 @@
   return found;
 }
 
-std::vector<double> Buyer::group_values(const Cluster& cluster, double now,
-                                        const std::vector<bool>& without) const {
+std::vector<double> Buyer::values(const Cluster& cluster, double now,
+                                  const std::vector<Group>& groups) const {
   std::vector<double> least;
-  for (const Group& group : groups(cluster, now, without)) {
-    const Amounts goal{group.need.cpus * group.tasks, group.need.gpus * group.tasks,
-                       group.need.ram_gb * group.tasks};
-    const Amounts values =
-        utilities(holdings(cluster, group, now), correlations(group.pools), policy_.gamma, goal);
+  for (const Group& group : groups) {
+    const Amounts values = utilities(holdings(cluster, group, now), correlations(group.pools),
+                                     policy_.gamma, group.goal());
     least.push_back(*std::min_element(values.begin(), values.end()));
   }
   return least;
@@ -367,28 +425,40 @@
       idle.push_back(i);
     }
   }
-  const auto chance = [&](Index i) {
+  if (idle.empty()) return idle;
+  // Safest pools first; of one pool, whose machines are all alike, as many as can be spared.
+  std::map<std::pair<double, Pool>, std::vector<Index>> by_pool;
+  for (const Index i : idle) {
     const Host& host = *cluster.hosts[i];
-    return reclaim_chance({host.type, host.zone, host.spot});
-  };
-  std::stable_sort(idle.begin(), idle.end(),
-                   [&](Index a, Index b) { return chance(a) < chance(b); });
-  std::vector<Index> surplus;
-  if (idle.empty()) return surplus;
+    const Pool pool{host.type, host.zone, host.spot};
+    by_pool[{reclaim_chance(pool), pool}].push_back(i);
+  }
   std::vector<bool> without(cluster.hosts.size());
-  const std::vector<double> with = group_values(cluster, now, without);
-  for (const Index i : idle) {
-    without[i] = true;
-    const std::vector<double> values = group_values(cluster, now, without);
-    bool spare = true;
-    for (std::size_t g = 0; g < values.size(); ++g) {
+  std::vector<Group> groups = demand(cluster, now);
+  cover(cluster, now, without, groups);
+  const std::vector<double> with = values(cluster, now, groups);
+  const auto can_spare = [&](const std::vector<Index>& machines, std::size_t count) {
+    std::vector<bool> less = without;
+    for (std::size_t i = 0; i < count; ++i) less[machines[i]] = true;
+    cover(cluster, now, less, groups);
+    const std::vector<double> left = values(cluster, now, groups);
+    for (std::size_t g = 0; g < left.size(); ++g) {
       // A machine that does nothing for a group that lacks others is no loss to it.
-      spare = spare && (values[g] > policy_.target || values[g] >= with[g] - 1e-9);
+      if (left[g] <= policy_.target && left[g] < with[g] - 1e-9) return false;
+    }
+    return true;
+  };
+  std::vector<Index> surplus;
+  for (const auto& [pool, machines] : by_pool) {
+    // Each question costs a look at the whole fleet, so the number is found by halving.
+    std::size_t spared = 0, beyond = machines.size() + 1;
+    while (beyond - spared > 1) {
+      const std::size_t middle = spared + (beyond - spared) / 2;
+      (can_spare(machines, middle) ? spared : beyond) = middle;
     }
-    if (spare) {
-      surplus.push_back(i);
-    } else {
-      without[i] = false;
+    for (std::size_t i = 0; i < spared; ++i) {
+      without[machines[i]] = true;
+      surplus.push_back(machines[i]);
     }
   }
   return surplus;
--- a/src/acquire/buyer.h
+++ b/src/acquire/buyer.h
@@ -26,6 +26,7 @@
   placement::Resources need;  // of a mean task
   double tasks = 0;           // that should run at the same time for their jobs to be in time
   double ordinary_tasks = 0;  // of these, what ordinary machines may be rented for
+  Amounts goal() const;
   // Slots for such tasks on the machines that more particular groups leave, by pool.
   std::vector<int> slots;
   std::vector<int> machines;
@@ -44,6 +45,7 @@
   void note_asked(const Pool& pool, int machines);
   void note_answered(const Pool& pool);
 
+  bool may_ask(const Pool& pool, double now) const;
   std::vector<Wish> wishes(const Cluster& cluster, double now) const;
   // Idle machines to return now, safest first.
   std::vector<Index> surplus(const Cluster& cluster, double now) const;
@@ -60,16 +62,16 @@
     int asked = 0;
   };
 
-  std::vector<Group> groups(const Cluster& cluster, double now,
-                            const std::vector<bool>& without) const;
-  // The zone for a job whose tasks must share one; kNone: any.
-  Index zone_for(const Cluster& cluster, const placement::Job& job, double now) const;
-  bool may_ask(const Pool& pool, double now) const;
+  // The work to rent for, the most particular first.
+  std::vector<Group> demand(const Cluster& cluster, double now) const;
+  // What the machines at hand, some left out, and those asked for hold of each group.
+  void cover(const Cluster& cluster, double now, const std::vector<bool>& without,
+             std::vector<Group>& groups) const;
   std::vector<Holding> holdings(const Cluster& cluster, const Group& group, double now) const;
   std::vector<std::vector<double>> correlations(const std::vector<Pool>& pools) const;
-  // The least V of each group, with some machines left out.
-  std::vector<double> group_values(const Cluster& cluster, double now,
-                                   const std::vector<bool>& without) const;
+  // The least V of each group as covered.
+  std::vector<double> values(const Cluster& cluster, double now,
+                             const std::vector<Group>& groups) const;
   double price(const Cluster& cluster, const Pool& pool) const;
 
   settings::Policy policy_;
--- a/src/cloud/client.h
+++ b/src/cloud/client.h
@@ -63,6 +63,9 @@
   bool more = false;
 };
 
+// Machines that one call may give back.
+inline constexpr std::size_t kMostPerReturn = 100;
+
 Catalog decode_catalog(const Json& body);
 Json encode_catalog(const Catalog& catalog);
 Json encode_hire(const Hire& hire);
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -274,8 +274,8 @@
   for (const std::string& name : failed) {
     spdlog::info("machine {} has failed", name);
     gone(name, now);
+    out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {name}});
   }
-  if (!failed.empty()) out_.cloud.push_back({CloudOrder::Kind::give_back, {}, failed});
 
   // A list describes a moment at most twice the lag ago. A machine that was there before that
   // moment and is not listed is gone.
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -312,6 +312,28 @@
   commands_.push({baton, ListRead{std::move(machines), asked_at}});
 }
 
+// Hires first: work waits for them. Returns go together: one call a machine took a minute and a half
+// for the fleet of a grown site, which was charged meanwhile.
+Node::CloudWork Node::next_work(std::deque<CloudWork>& waiting) {
+  const auto hire = std::find_if(waiting.begin(), waiting.end(), [](const CloudWork& work) {
+    return work.order.kind == CloudOrder::Kind::hire;
+  });
+  if (hire != waiting.end()) {
+    CloudWork work = std::move(*hire);
+    waiting.erase(hire);
+    return work;
+  }
+  CloudWork work = std::move(waiting.front());
+  waiting.pop_front();
+  while (!waiting.empty() && work.order.machines.size() + waiting.front().order.machines.size() <=
+                                 cloud::kMostPerReturn) {
+    const auto& more = waiting.front().order.machines;
+    work.order.machines.insert(work.order.machines.end(), more.begin(), more.end());
+    waiting.pop_front();
+  }
+  return work;
+}
+
 void Node::deal_with_cloud() {
   double catalog_at = -1e9;
   double list_at = -1e9;
@@ -356,8 +378,7 @@
       }
     }
     if (!waiting.empty()) {
-      const CloudWork work = std::move(waiting.front());
-      waiting.pop_front();
+      const CloudWork work = next_work(waiting);
       cloud_turn();
       if (work.order.kind == CloudOrder::Kind::hire) {
         const cloud::Hired hired = cloud_.hire(work.order.hire);
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -100,6 +101,7 @@
   void commit();
   void deal_with_cloud();
   void read_machines(std::uint64_t baton);
+  static CloudWork next_work(std::deque<CloudWork>& waiting);
   void cloud_turn();
   void greet();
 
