--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -22,7 +22,7 @@
 
 constexpr const char* kCatalogKey = "catalog";
 // A report's answer waits this long for the starts that it should carry to become durable.
-constexpr double kParkFor = 0.4;
+constexpr double kParkFor = 1.0;
 constexpr double kPlanEvery = 0.5;
 // At hundreds of machines a report comes every few milliseconds; each asks for a plan.
 constexpr double kPlanAtMostEvery = 0.1;
@@ -415,9 +415,14 @@
     bought_at_ = now;
     buy(now);
   }
-  if (!in_flight_ && now >= retry_commit_at_) {
-    auto batch = ledger_.next(cluster_, writes_.level(now) > 0.6, now);
-    if (batch && writes_.take(static_cast<double>(batch->transaction.writes.size()), now) <= 0) {
+  // Worth a transaction: room for half a full one. Before a record is put together, not after: at a
+  // grown site batches were built ten times a second and thrown away for want of writes.
+  const int ops = platform_.state_limits.txn_ops;
+  const int affordable = std::min(ops, static_cast<int>(writes_.available(now)));
+  if (!in_flight_ && now >= retry_commit_at_ && affordable >= std::max(1, ops / 2)) {
+    auto batch = ledger_.next(cluster_, affordable, writes_.level(now) > 0.6, now);
+    if (batch) {
+      writes_.take(static_cast<double>(batch->transaction.writes.size()), now);
       in_flight_ = std::move(batch);
       out_.commit = *in_flight_;
     }
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -55,8 +55,8 @@
     }));
   }
   static void hear(Leader& leader, int machine, double now) {
-    leader.on_report(report(machine, static_cast<std::uint64_t>(now * 10)),
-                     [](const wire::Json&) {}, now);
+    leader.on_report(
+        report(machine, static_cast<std::uint64_t>(now * 10)), [](const wire::Json&) {}, now);
   }
   static state::Committed outcome(state::Outcome what, std::uint64_t epoch = 50) {
     state::Committed committed;
@@ -141,22 +141,23 @@
   EXPECT_TRUE(leader.cluster().over.empty());
 }
 
-// Chunks that do not fit the transaction that ends their job must outlive it: they say what is done.
+// Chunks that do not fit the transaction that ends their job must outlive it: they say what is
+// done.
 TEST_F(LeaderTest, ChunksOfALargeJobAreRemovedOnlyAfterItsEnd) {
   std::vector<state::Entry> chunks;
-  const Leader sized = lead(snapshot({job_entry("j-1", 200)}));
-  const std::size_t size = sized.cluster().chunk_tasks();
-  for (std::uint32_t task = 0; task < 200; ++task) {
-    if (task % size == 0) {
-      jobs::ChunkRecord chunk;
-      for (std::uint32_t t = task; t < std::min<std::uint32_t>(200, task + size); ++t) {
-        chunk.done.push_back(t);
-      }
-      chunks.push_back({jobs::chunk_key("j-1", task / size), encode_chunk(chunk), 8});
+  constexpr std::uint32_t kTasks = 700;
+  const Leader sized = lead(snapshot({job_entry("j-1", kTasks)}));
+  const std::size_t size = sized.cluster().chunk_tasks(jobs::Shape::array);
+  for (std::uint32_t first = 0; first < kTasks; first += size) {
+    jobs::ChunkRecord chunk;
+    chunk.first = first;
+    for (std::uint32_t t = first; t < std::min<std::uint32_t>(kTasks, first + size); ++t) {
+      chunk.done.push_back(t);
     }
+    chunks.push_back({jobs::chunk_key("j-1", first / size), encode_chunk(chunk), 8});
   }
   ASSERT_GT(chunks.size(), 6u);
-  Leader leader = lead(snapshot({job_entry("j-1", 200)}, chunks));
+  Leader leader = lead(snapshot({job_entry("j-1", kTasks)}, chunks));
   const auto end = leader.advance(1).commit;
   ASSERT_TRUE(end);
   EXPECT_EQ(end->transaction.writes.size(), 8u);
@@ -184,7 +185,8 @@
   Leader leader = lead(snapshot({}));
   workers::Report newer = report(1, 1);
   newer.baton = kBaton + 1;
-  EXPECT_FALSE(leader.on_report(newer, [](const wire::Json&) {}, 1));
+  EXPECT_FALSE(leader.on_report(
+      newer, [](const wire::Json&) {}, 1));
   EXPECT_TRUE(leader.deposed());
 }
 
--- a/src/controller/ledger.cpp
+++ b/src/controller/ledger.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kMostBytes = 48 * 1024;  // the limit is 64 KiB in all
 constexpr double kTellEvery = 2.0;
 constexpr double kAfterConflict = 0.05;
+constexpr double kEndsWait_s = 3;
 
 std::uint32_t running_tasks(const Job& job) {
   return static_cast<std::uint32_t>(
@@ -25,12 +26,27 @@
       }));
 }
 
+// Records that starts wait for, the most first; then those with ends that have waited long. Until
+// then ends are not lost: their workers go on listing them. Most are never written at all, since
+// their job's end comes first.
+std::vector<ChunkRef> chunks_by_need(const Cluster& cluster, double now) {
+  std::vector<std::tuple<std::uint32_t, double, ChunkRef>> needs;
+  for (const ChunkRef& ref : cluster.dirty) {
+    if (cluster.over.contains(ref.job)) continue;  // goes with its job
+    const placement::Chunk& chunk = cluster.jobs[ref.job]->chunks[ref.chunk];
+    const double age = now - chunk.dirty_since;
+    if (chunk.waiting > 0 || age > kEndsWait_s) needs.emplace_back(chunk.waiting, age, ref);
+  }
+  std::sort(needs.rbegin(), needs.rend());
+  std::vector<ChunkRef> refs;
+  for (const auto& need : needs) refs.push_back(std::get<2>(need));
+  return refs;
+}
+
 }  // namespace
 
 struct Ledger::Builder {
-  explicit Builder(const Cluster& cluster) : ops(cluster.platform.state_limits.txn_ops) {
-    require(kLeaderKey, cluster.baton);
-  }
+  Builder(const Cluster& cluster, int most) : ops(most) { require(kLeaderKey, cluster.baton); }
 
   bool has_room(std::size_t more = 1) const {
     return batch.transaction.writes.size() + more <= static_cast<std::size_t>(ops) &&
@@ -107,18 +123,13 @@
   }
 }
 
-std::optional<Batch> Ledger::next(Cluster& cluster, bool spare, double now) {
+std::optional<Batch> Ledger::next(Cluster& cluster, int most, bool spare, double now) {
   if (now < not_before_) return std::nullopt;
-  Builder builder(cluster);
+  Builder builder(cluster, most);
   for (const Index index : cluster.over) {
     if (!builder.has_room(2)) break;
     add_end(cluster, index, builder);
   }
-  for (const ChunkRef& ref : cluster.dirty) {
-    if (!builder.has_room()) break;
-    if (cluster.over.contains(ref.job)) continue;  // goes with its job
-    add_chunk(cluster, ref, builder);
-  }
   for (const auto& [key, value] : notes_) {
     if (!builder.has_room()) break;
     const auto known = stamps_.find(key);
@@ -126,6 +137,10 @@
     builder.write(key, value);
     builder.batch.notes.push_back({key, value});
   }
+  for (const ChunkRef& ref : chunks_by_need(cluster, now)) {
+    if (!builder.has_room()) break;
+    add_chunk(cluster, ref, builder);
+  }
   if (spare) add_headers(cluster, now, builder);
   if (builder.batch.transaction.writes.empty()) return std::nullopt;
   return std::move(builder.batch);
@@ -164,7 +179,7 @@
       const auto at = job->attempts.find(placement.task);
       if (at != job->attempts.end() && at->second.number == placement.attempt &&
           cluster.hosts[at->second.host]->name == placement.host) {
-        at->second.durable = true;
+        cluster.make_durable(*job, placement.task);
       }
     }
   }
--- a/src/controller/ledger.h
+++ b/src/controller/ledger.h
@@ -53,9 +53,9 @@
   void write(Note note);
   bool is_stored(const std::string& key) const;
 
-  // The next batch, if anything has changed. `spare` is false while writes are scarce: counts for
-  // display then wait.
-  std::optional<Batch> next(Cluster& cluster, bool spare, double now);
+  // The next batch of at most `most` writes, if anything has changed. `spare` is false while writes
+  // are scarce: counts for display then wait.
+  std::optional<Batch> next(Cluster& cluster, int most, bool spare, double now);
   Settlement settle(Cluster& cluster, const Batch& batch, const state::Committed& committed,
                     double now);
 
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -312,8 +312,8 @@
   commands_.push({baton, ListRead{std::move(machines), asked_at}});
 }
 
-// Hires first: work waits for them. Returns go together: one call a machine took a minute and a half
-// for the fleet of a grown site, which was charged meanwhile.
+// Hires first: work waits for them. Returns go together: one call a machine took a minute and a
+// half for the fleet of a grown site, which was charged meanwhile.
 Node::CloudWork Node::next_work(std::deque<CloudWork>& waiting) {
   const auto hire = std::find_if(waiting.begin(), waiting.end(), [](const CloudWork& work) {
     return work.order.kind == CloudOrder::Kind::hire;
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace reachramp::jobs {
@@ -162,37 +164,68 @@
           static_cast<std::uint32_t>(wire::count(record, "done", kMostTasks))};
 }
 
-// Done tasks are kept as flat [first, last, ...] runs: arrays mostly finish in order.
+namespace {
+
+std::size_t digits(std::uint64_t number) { return std::to_string(number).size(); }
+
+constexpr const char* kHex = "0123456789abcdef";
+
+}  // namespace
+
+std::size_t empty_chunk_bytes(std::size_t tasks) { return 72 + tasks / 4; }
+std::size_t machine_bytes(const std::string& host) { return host.size() + 5; }
+std::size_t placement_bytes(std::uint32_t task, std::uint64_t attempt) {
+  return digits(task) + digits(attempt) + 2;
+}
+
+// Done tasks are hexadecimal digits of four tasks each, lowest bit first; placements are lists of a
+// machine, then task and attempt for each of its tasks. Records are small and writes few: written
+// task by task, with a machine's name for each, an array of 2,000 tasks took thirty records.
 Json encode_chunk(const ChunkRecord& chunk) {
-  Json runs = Json::array();
-  for (std::size_t i = 0; i < chunk.done.size();) {
-    std::size_t end = i;
-    while (end + 1 < chunk.done.size() && chunk.done[end + 1] == chunk.done[end] + 1) ++end;
-    runs.push_back(chunk.done[i]);
-    runs.push_back(chunk.done[end]);
-    i = end + 1;
+  std::string done;
+  for (const std::uint32_t task : chunk.done) {
+    const std::size_t digit = (task - chunk.first) / 4;
+    if (done.size() <= digit) done.resize(digit + 1, '0');
+    const std::size_t value = std::string_view(kHex).find(done[digit]);
+    done[digit] = kHex[value | (1u << ((task - chunk.first) % 4))];
   }
-  Json placements = Json::array();
+  std::map<std::string, Json> by_machine;
   for (const Placement& placement : chunk.placements) {
-    placements.push_back({placement.task, placement.attempt, placement.host});
+    Json& list =
+        by_machine.try_emplace(placement.host, Json::array({placement.host})).first->second;
+    list.push_back(placement.task);
+    list.push_back(placement.attempt);
   }
-  return {{"d", std::move(runs)}, {"t", chunk.last_attempt}, {"p", std::move(placements)}};
+  Json placements = Json::array();
+  for (auto& [machine, list] : by_machine) placements.push_back(std::move(list));
+  return {{"f", chunk.first},
+          {"d", std::move(done)},
+          {"t", chunk.last_attempt},
+          {"p", std::move(placements)}};
 }
 
 ChunkRecord decode_chunk(const Json& record) {
   ChunkRecord chunk;
-  const Json& runs = wire::list(record, "d");
-  if (runs.size() % 2 != 0) throw wire::BadMessage("d: odd length");
-  for (std::size_t i = 0; i < runs.size(); i += 2) {
-    const auto first = runs[i].get<std::uint32_t>();
-    const auto last = runs[i + 1].get<std::uint32_t>();
-    if (last < first || last >= kMostTasks) throw wire::BadMessage("d: not a run");
-    for (std::uint32_t task = first; task <= last; ++task) chunk.done.push_back(task);
+  chunk.first = static_cast<std::uint32_t>(wire::count(record, "f", kMostTasks));
+  const Json& done = wire::need(record, "d");
+  if (!done.is_string()) throw wire::BadMessage("d: not text");
+  std::uint32_t task = chunk.first;
+  for (const char digit : done.get_ref<const std::string&>()) {
+    const std::size_t value = std::string_view(kHex).find(digit);
+    if (value == std::string_view::npos || task >= kMostTasks)
+      throw wire::BadMessage("d: not done");
+    for (std::uint32_t bit = 0; bit < 4; ++bit, ++task) {
+      if ((value >> bit & 1) != 0) chunk.done.push_back(task);
+    }
   }
   chunk.last_attempt = wire::count(record, "t");
   for (const Json& item : wire::list(record, "p")) {
-    chunk.placements.push_back({item.at(0).get<std::uint32_t>(), item.at(1).get<std::uint64_t>(),
-                                item.at(2).get<std::string>()});
+    if (!item.is_array() || item.size() % 2 != 1) throw wire::BadMessage("p: bad length");
+    const auto host = item.at(0).get<std::string>();
+    for (std::size_t i = 1; i < item.size(); i += 2) {
+      chunk.placements.push_back(
+          {item[i].get<std::uint32_t>(), item[i + 1].get<std::uint64_t>(), host});
+    }
   }
   return chunk;
 }
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -78,11 +78,18 @@
 };
 
 struct ChunkRecord {
+  std::uint32_t first = 0;          // task of the chunk
   std::vector<std::uint32_t> done;  // ascending
   std::uint64_t last_attempt = 0;
   std::vector<Placement> placements;
 };
 
+// JSON bytes that a chunk's record takes: without placements, for a machine that holds some of its
+// tasks, and for each placement.
+std::size_t empty_chunk_bytes(std::size_t tasks);
+std::size_t machine_bytes(const std::string& host);
+std::size_t placement_bytes(std::uint32_t task, std::uint64_t attempt);
+
 Json encode_chunk(const ChunkRecord& chunk);
 ChunkRecord decode_chunk(const Json& record);
 
--- a/src/jobs/spec_test.cpp
+++ b/src/jobs/spec_test.cpp
@@ -64,15 +64,30 @@
   EXPECT_TRUE(never_runs(spec, catalog, teams));
 }
 
-RC_GTEST_PROP(Chunk, RoundTrip, (const std::set<std::uint16_t>& done)) {
+RC_GTEST_PROP(Chunk, RoundTripAndNoLongerThanReckoned,
+              (const std::set<std::uint8_t>& done, const std::set<std::uint8_t>& placed)) {
   ChunkRecord chunk;
-  chunk.done.assign(done.begin(), done.end());
+  chunk.first = 70000;
+  for (const std::uint32_t task : done) chunk.done.push_back(chunk.first + task);
   chunk.last_attempt = 9;
-  chunk.placements = {{70000, 9, "n-000231"}};
-  const ChunkRecord back = decode_chunk(encode_chunk(chunk));
+  std::size_t bytes = empty_chunk_bytes(256);
+  std::set<std::string> machines;
+  for (const std::uint32_t task : placed) {
+    chunk.placements.push_back({chunk.first + task, task + 1u, "n-" + std::to_string(task % 7)});
+    bytes += placement_bytes(chunk.first + task, task + 1u);
+    if (machines.insert(chunk.placements.back().host).second) {
+      bytes += machine_bytes(chunk.placements.back().host);
+    }
+  }
+  const Json record = encode_chunk(chunk);
+  RC_ASSERT(wire::json_size(record) <= bytes);
+  const ChunkRecord back = decode_chunk(record);
   RC_ASSERT(back.done == chunk.done);
   RC_ASSERT(back.last_attempt == 9u);
-  RC_ASSERT(back.placements.at(0).host == "n-000231");
+  std::set<std::tuple<std::uint32_t, std::uint64_t, std::string>> sent, found;
+  for (const Placement& p : chunk.placements) sent.insert({p.task, p.attempt, p.host});
+  for (const Placement& p : back.placements) found.insert({p.task, p.attempt, p.host});
+  RC_ASSERT(sent == found);
 }
 
 TEST(Chunk, KeysNameTheirJob) {
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-// JSON bytes that a task may take in its chunk: [99999,<20 digits>,"<name of 60>"], and a run.
+// JSON bytes reckoned for a task of a gang or a service, each on a machine of its own, and for one
+// of an array, several of which share a machine or wait for room.
 constexpr double kBytesPerTask = 56;
+constexpr double kBytesPerArrayTask = 10;
 constexpr double kSlack = 1e-9;
 constexpr double kKeepForLarge_s = 300;
 
@@ -47,11 +49,12 @@
 }
 
 Cluster::Cluster(const settings::Platform& p, std::uint64_t b)
-    : platform(p),
-      baton(b),
-      used(p.teams.size()),
-      chunk_tasks_(static_cast<std::size_t>(
-          std::max(8.0, (p.state_limits.value_kb * 1024 - 200) / kBytesPerTask))) {}
+    : platform(p), baton(b), used(p.teams.size()) {}
+
+std::size_t Cluster::chunk_tasks(jobs::Shape shape) const {
+  const double each = shape == jobs::Shape::array ? kBytesPerArrayTask : kBytesPerTask;
+  return static_cast<std::size_t>(std::max(8.0, value_bytes() / each));
+}
 
 void Cluster::set_catalog(const cloud::Catalog& fresh) {
   catalog = fresh;
@@ -95,7 +98,8 @@
   job.stamp = stamp;
   job.born = header.born != 0 ? header.born : stamp;
   job.done.resize(job.spec.tasks);
-  job.chunks.resize((job.spec.tasks + chunk_tasks_ - 1) / chunk_tasks_);
+  job.chunk_tasks = chunk_tasks(job.spec.shape);
+  job.chunks.resize((job.spec.tasks + job.chunk_tasks - 1) / job.chunk_tasks);
   job.seen_at = now;
   job.told_done = header.done;
   job.told_running = header.running;
@@ -205,11 +209,42 @@
   attempt.host = host;
   attempt.placed_at = now;
   job.attempts[task] = attempt;
-  job.last_attempt = std::max(job.last_attempt, number);
+  if (job.spec.shape == jobs::Shape::gang) job.last_attempt = std::max(job.last_attempt, number);
+  const std::size_t chunk = task / job.chunk_tasks;
+  ++job.chunks[chunk].waiting;
+  job.chunks[chunk].bytes +=
+      jobs::placement_bytes(task, number) + (shares_machine(job, index, chunk, *hosts[host])
+                                                 ? 0
+                                                 : jobs::machine_bytes(hosts[host]->name));
   hosts[host]->attempts.insert({index, task});
   hosts[host]->free -= job.need;
   charge(job, 1);
-  touch(index, task);
+  touch(index, task, now);
+}
+
+bool Cluster::shares_machine(const Job& job, Index index, std::size_t chunk,
+                             const Host& host) const {
+  const auto first = static_cast<std::uint32_t>(chunk * job.chunk_tasks);
+  const auto at = host.attempts.lower_bound({index, first});
+  return at != host.attempts.end() && at->job == index && at->task < first + job.chunk_tasks;
+}
+
+bool Cluster::has_room(Index index, std::uint32_t task, std::uint64_t attempt, Index host) const {
+  const Job& job = *jobs[index];
+  const std::size_t chunk = task / job.chunk_tasks;
+  const std::size_t more =
+      jobs::placement_bytes(task, attempt) + (shares_machine(job, index, chunk, *hosts[host])
+                                                  ? 0
+                                                  : jobs::machine_bytes(hosts[host]->name));
+  return static_cast<double>(jobs::empty_chunk_bytes(job.chunk_tasks) + job.chunks[chunk].bytes +
+                             more) <= value_bytes();
+}
+
+void Cluster::make_durable(Job& job, std::uint32_t task) {
+  Attempt& attempt = job.attempts.at(task);
+  if (attempt.durable) return;
+  attempt.durable = true;
+  --job.chunks[task / job.chunk_tasks].waiting;
 }
 
 void Cluster::inherit(Index index, const jobs::ChunkRecord& record, std::size_t chunk,
@@ -219,13 +254,14 @@
   job.chunks[chunk].stamp = stamp;
   job.last_attempt = std::max(job.last_attempt, record.last_attempt);
   for (const std::uint32_t task : record.done) {
-    if (task < job.spec.tasks) mark_done(index, task);
+    if (task < job.spec.tasks) mark_done(index, task, now);
   }
   for (const jobs::Placement& placement : record.placements) {
     if (placement.task >= job.spec.tasks || job.attempts.contains(placement.task)) continue;
     place(index, placement.task, placement.attempt, add_host(placement.host, now), now);
     Attempt& attempt = job.attempts[placement.task];
-    attempt.inherited = attempt.durable = true;
+    attempt.inherited = true;
+    make_durable(job, placement.task);
     attempt.stopping = job.cancelled;
   }
   job.chunks[chunk].stored = job.chunks[chunk].changed;
@@ -242,21 +278,27 @@
   host.free += job.need;
   if (host.attempts.empty()) host.idle_since = now;
   charge(job, -1);
+  make_durable(job, task);
+  const std::size_t chunk = task / job.chunk_tasks;
+  job.chunks[chunk].bytes -=
+      jobs::placement_bytes(task, at->second.number) +
+      (shares_machine(job, index, chunk, host) ? 0 : jobs::machine_bytes(host.name));
+  if (!job.done[task]) job.last_attempt = std::max(job.last_attempt, at->second.number);
   job.attempts.erase(at);
   job.hint = std::min(job.hint, task);
   if (job.attempts.empty()) job.gang_started = false;
-  touch(index, task);
+  touch(index, task, now);
   notice_over(index);
 }
 
-void Cluster::mark_done(Index index, std::uint32_t task) {
+void Cluster::mark_done(Index index, std::uint32_t task, double now) {
   Job& job = *jobs[index];
   if (job.done[task]) return;
   job.done[task] = true;
   ++job.done_count;
   const auto twin = job.attempts.find(task);
   if (twin != job.attempts.end()) twin->second.stopping = true;
-  touch(index, task);
+  touch(index, task, now);
   notice_over(index);
 }
 
@@ -301,10 +343,11 @@
   for (const std::uint32_t task : unsent) end_attempt(index, task, now);
 }
 
-void Cluster::touch(Index index, std::uint32_t task) {
-  const std::size_t chunk = task / chunk_tasks_;
-  ++jobs[index]->chunks[chunk].changed;
-  dirty.insert({index, chunk});
+void Cluster::touch(Index index, std::uint32_t task, double now) {
+  const std::size_t number = task / jobs[index]->chunk_tasks;
+  Chunk& chunk = jobs[index]->chunks[number];
+  if (chunk.changed++ == chunk.stored) chunk.dirty_since = now;
+  dirty.insert({index, number});
 }
 
 void Cluster::notice_over(Index index) {
@@ -317,21 +360,26 @@
 }
 
 bool Cluster::chunk_is_stored(const Job& job, std::uint32_t task) const {
-  const Chunk& chunk = job.chunks[task / chunk_tasks_];
+  const Chunk& chunk = job.chunks[task / job.chunk_tasks];
   return chunk.changed == chunk.stored;
 }
 
 jobs::ChunkRecord Cluster::chunk_record(const Job& job, std::size_t chunk) const {
   jobs::ChunkRecord record;
   record.last_attempt = job.last_attempt;
-  const auto first = static_cast<std::uint32_t>(chunk * chunk_tasks_);
-  const auto end =
-      static_cast<std::uint32_t>(std::min<std::size_t>(job.spec.tasks, first + chunk_tasks_));
-  for (std::uint32_t task = first; task < end; ++task) {
+  record.first = static_cast<std::uint32_t>(chunk * job.chunk_tasks);
+  const auto end = static_cast<std::uint32_t>(
+      std::min<std::size_t>(job.spec.tasks, record.first + job.chunk_tasks));
+  for (std::uint32_t task = record.first; task < end; ++task) {
     if (job.done[task]) record.done.push_back(task);
   }
-  for (auto at = job.attempts.lower_bound(first); at != job.attempts.end() && at->first < end;
-       ++at) {
+  // Whatever was placed had room; a task found running that nobody had placed may have none, and
+  // shows again in its worker's next report.
+  const bool full = static_cast<double>(jobs::empty_chunk_bytes(job.chunk_tasks) +
+                                        job.chunks[chunk].bytes) > value_bytes();
+  for (auto at = job.attempts.lower_bound(record.first);
+       at != job.attempts.end() && at->first < end; ++at) {
+    if (full && at->second.adopted) continue;
     record.placements.push_back({at->first, at->second.number, hosts[at->second.host]->name});
   }
   return record;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -58,6 +58,7 @@
   // Placed by an earlier leader, whose order may still be on its way: only a report that carries
   // our baton can prove that it never arrived.
   bool inherited = false;
+  bool adopted = false;  // found running without having been placed
   bool durable = false;
   bool sent = false;
   std::uint64_t sent_tick = 0;  // the report whose answer carried the start
@@ -72,6 +73,9 @@
   std::uint64_t stamp = 0;
   std::uint32_t changed = 0;
   std::uint32_t stored = 0;
+  double dirty_since = 0;
+  std::uint32_t waiting = 0;  // attempts that may start once the record is stored
+  std::size_t bytes = 0;      // that its placements take
 };
 
 struct Job {
@@ -85,13 +89,17 @@
   std::vector<bool> done;
   std::uint32_t done_count = 0;
   std::map<std::uint32_t, Attempt> attempts;
+  // Gangs: the newest attempt. Else the highest number that ended without its task being done, so
+  // that no task gets a number twice.
   std::uint64_t last_attempt = 0;
+  std::size_t chunk_tasks = 1;
   std::uint32_t hint = 0;  // no task below is pending
   std::vector<Chunk> chunks;
   double seen_at = 0;
   // By when its last task must have started for each of the things expected of the job; ascending.
   std::vector<double> start_by;
-  // What the catalog says of it, by type: whether one task fits, and the smallest type that holds it.
+  // What the catalog says of it, by type: whether one task fits, and the smallest type that holds
+  // it.
   std::vector<bool> fits;
   Index smallest = kNone;
   // Display counts as last written.
@@ -207,7 +215,12 @@
   }
   const cloud::MachineType* type_of(const Host& host) const { return kind(host.type); }
 
-  std::size_t chunk_tasks() const { return chunk_tasks_; }
+  // Tasks that one record holds. A task of an array can wait until its record has room for its
+  // placement; a gang or a service must fit whatever its machines are called.
+  std::size_t chunk_tasks(jobs::Shape shape) const;
+  bool has_room(Index job, std::uint32_t task, std::uint64_t attempt, Index host) const;
+  // What was intended is stored: the task may start.
+  void make_durable(Job& job, std::uint32_t task);
   Index add_job(const jobs::Header& header, std::uint64_t stamp, double now);
   void remove_job(Index index);
   Job* job(const std::string& id);
@@ -224,13 +237,13 @@
                double now);
   // The attempt is proven to be over.
   void end_attempt(Index job, std::uint32_t task, double now);
-  void mark_done(Index job, std::uint32_t task);
+  void mark_done(Index job, std::uint32_t task, double now);
   void cancel(Index job, double now);
   // Notes the types that large tasks need, and forgets those that none has needed for long.
   void keep_for_large(double now);
   // Whether the type is kept for larger tasks than the job's.
   bool is_kept_from(const Job& job, Index type, bool spot) const;
-  void touch(Index job, std::uint32_t task);
+  void touch(Index job, std::uint32_t task, double now);
   bool chunk_is_stored(const Job& job, std::uint32_t task) const;
   jobs::ChunkRecord chunk_record(const Job& job, std::size_t chunk) const;
   bool within_limit(const Job& job, double tasks) const;
@@ -246,7 +259,11 @@
   // One task takes more than half of the machine.
   bool fills(const Job& job, Index type) const;
 
-  std::size_t chunk_tasks_;
+  // Of the machine's attempts, whether one is in the same chunk.
+  bool shares_machine(const Job& job, Index index, std::size_t chunk, const Host& host) const;
+  double value_bytes() const { return platform.state_limits.value_kb * 1024 - kValueMargin; }
+
+  static constexpr double kValueMargin = 200;
   std::vector<const cloud::MachineType*> kinds_;  // by type
   std::vector<Index> free_jobs_;
 };
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -58,8 +58,8 @@
 
 // Of these, the ones that could take a task of the job now; among equals those that hold its image
 // already come first.
-std::vector<Index> candidates(const Cluster& cluster, const Job& job, const std::vector<Index>& open,
-                              double now) {
+std::vector<Index> candidates(const Cluster& cluster, const Job& job,
+                              const std::vector<Index>& open, double now) {
   std::vector<Index> found;
   std::vector<Index> without_image;
   std::pair<bool, Index> kind{false, kNone};
@@ -136,7 +136,8 @@
   const std::uint64_t attempt = job.last_attempt + 1;
   for (const Index host : hosts) {
     while (task < job.spec.tasks && cluster.hosts[host]->free.holds(job.need) &&
-           rules.allow(cluster.hosts[host]->zone) && cluster.within_limit(job, 1)) {
+           rules.allow(cluster.hosts[host]->zone) && cluster.within_limit(job, 1) &&
+           cluster.has_room(index, task, attempt, host)) {
       rules.take(cluster.hosts[host]->zone);
       cluster.place(index, task, attempt, host, now);
       ++placed;
@@ -295,8 +296,7 @@
     const bool gang = job.spec.shape == jobs::Shape::gang;
     if (gang) stop_broken_gang(cluster, index);
     if (now < job.not_before) continue;
-    placed += gang ? place_gang(cluster, index, open, now)
-                   : place_array(cluster, index, open, now);
+    placed += gang ? place_gang(cluster, index, open, now) : place_array(cluster, index, open, now);
   }
   return placed;
 }
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -109,7 +109,7 @@
   cluster_.add_job(big, 1, 0);
   EXPECT_EQ(plan(cluster_, 1), 1);
   cluster_.end_attempt(0, 0, 2);
-  cluster_.mark_done(0, 0);
+  cluster_.mark_done(0, 0, 0);
   jobs::Header small = header(4, 1);
   const Index job = cluster_.add_job(small, 2, 2);
   EXPECT_EQ(plan(cluster_, 3), 0);
--- a/src/state/bucket.h
+++ b/src/state/bucket.h
@@ -25,7 +25,10 @@
     return tokens_ / burst_;
   }
 
-  void drain() { tokens_ = std::min(tokens_, 0.0); }
+  double available(double now) {
+    refill(now);
+    return tokens_;
+  }
 
  private:
   void refill(double now) {
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -111,10 +111,10 @@
       if (job.spec.shape == jobs::Shape::gang) {
         // A gang completes together: if one task is done, all are.
         for (std::uint32_t task = 0; task < job.spec.tasks; ++task) {
-          cluster.mark_done(job_index, task);
+          cluster.mark_done(job_index, task, now);
         }
       } else {
-        cluster.mark_done(job_index, piece.task);
+        cluster.mark_done(job_index, piece.task, now);
       }
       break;
     case Cause::error:
@@ -144,6 +144,7 @@
   Attempt& attempt = job.attempts[piece.task];
   attempt.sent = true;
   attempt.stopping = true;
+  attempt.adopted = true;
   attempt.seen = seen_as(piece.state);
   return true;
 }
@@ -167,7 +168,7 @@
       take_exit(cluster, found->second, host_index, piece, now);
     } else if (job != nullptr && piece.cause == Cause::done && piece.task < job->spec.tasks &&
                job->spec.shape == jobs::Shape::array) {
-      cluster.mark_done(found->second, piece.task);
+      cluster.mark_done(found->second, piece.task, now);
     }
     return;
   }
