--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "placement/order.h"
 #include "placement/plan.h"
 
 namespace reachramp::acquire {
@@ -26,6 +27,11 @@
 // Owners' estimates are often wrong by half.
 constexpr double kEstimateMargin = 1.5;
 constexpr double kIdleKeep_s = 20;
+// Late work is worth ordinary machines only as far as cheap ones would take longer than this.
+constexpr double kLateHorizons = 4;
+// Aims count jobs, and a large one costs as much as many small ones: an array that would need more
+// than this share of the fleet makes do with cheap machines.
+constexpr double kLargestShare = 0.5;
 
 double price_per_hour(const cloud::MachineType& type, bool spot) {
   return spot ? type.spot_price : type.price;
@@ -53,6 +59,17 @@
   return host.phase == HostPhase::up || now - host.rented_at < kLateBoot * type->boot_s;
 }
 
+// Cores of the machines at hand that may run the job.
+double fleet_cores(const Cluster& cluster, const Job& job, double now) {
+  double cores = 0;
+  for (const auto& host : cluster.hosts) {
+    if (host && counts(cluster, *host, now) && placement::allows(cluster, job, *host)) {
+      cores += cluster.type_of(*host)->cpus;
+    }
+  }
+  return cores;
+}
+
 double quickest_boot(const Cluster& cluster, const Job& job) {
   double boot_s = placement::kNever;
   for (const auto& type : cluster.catalog) {
@@ -90,7 +107,14 @@
   }
 }
 
-void Buyer::note_reclaim(const Pool& pool) { books_[pool].events += 1; }
+// V takes a pool to fall whole; the cloud takes machines one by one. One of thirty counts as a
+// thirtieth, or the chance of a large pool nears one, and no number of machines meets the target.
+void Buyer::note_reclaim(const Cluster& cluster, const Pool& pool) {
+  const auto held = std::count_if(cluster.hosts.begin(), cluster.hosts.end(), [&](const auto& h) {
+    return h && h->phase != HostPhase::leaving && Pool{h->type, h->zone, h->spot} == pool;
+  });
+  books_[pool].events += 1.0 / static_cast<double>(std::max<std::ptrdiff_t>(held, 1));
+}
 
 void Buyer::note_exposure(const Cluster& cluster, double now) {
   const double horizons = exposed_at_ < 0 ? 0 : (now - exposed_at_) / policy_.horizon_s;
@@ -262,8 +286,12 @@
     // A machine that cannot be up in time for a job that is late anyway is worth its full price
     // only as far as the cheap ones would not get through the work within a horizon.
     const bool in_time =
-        job.start_by.empty() || job.next_start_by(now + boot_s) != placement::kNever;
-    const double soon = std::ceil(tasks * job.spec.estimate_s / policy_.horizon_s);
+        job.start_by.empty() ||
+        (job.next_start_by(now + boot_s) != placement::kNever &&
+         (job.spec.shape != jobs::Shape::array ||
+          parallel * job.need.cpus <= kLargestShare * fleet_cores(cluster, job, now)));
+    const double soon =
+        std::ceil(tasks * job.spec.estimate_s / (kLateHorizons * policy_.horizon_s));
     group.ordinary_tasks += !job.spec.spot || in_time
                                 ? parallel
                                 : std::min(parallel, std::max<double>(soon, job.attempts.size()));
--- a/src/acquire/buyer.h
+++ b/src/acquire/buyer.h
@@ -37,7 +37,8 @@
   Buyer(const settings::Policy& policy);
 
   void note_prices(const Cluster& cluster, double now);
-  void note_reclaim(const Pool& pool);
+  // A machine of the pool, still among the cluster's, is gone.
+  void note_reclaim(const Cluster& cluster, const Pool& pool);
   void note_exposure(const Cluster& cluster, double now);
   void note_refused(const Pool& pool, double now);
   void note_filled(const Pool& pool);
--- /dev/null
+++ b/src/acquire/buyer_test.cpp
@@ -0,0 +1,83 @@
+#include "acquire/buyer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace reachramp::acquire {
+namespace {
+
+class BuyerTest : public ::testing::Test {
+ protected:
+  BuyerTest() : cluster_(platform_, 1), buyer_(settings::Policy{}) {
+    cluster_.set_catalog({{"large", 32, 0, 128, 50, 1, 3.2, 0.8, 30, {"a", "b", "c"}}});
+  }
+
+  Index machine(const std::string& zone, bool spot) {
+    const Index index = cluster_.add_host("n-" + std::to_string(cluster_.hosts.size()), 0);
+    cluster_.describe_host(index, "large", zone, spot);
+    cluster_.hosts[index]->phase = placement::HostPhase::up;
+    return index;
+  }
+
+  void gang(std::uint32_t tasks) {
+    jobs::Header made;
+    made.spec.id = "j-" + std::to_string(cluster_.jobs.size());
+    made.spec.team = "red";
+    made.spec.shape = jobs::Shape::gang;
+    made.spec.one_zone = true;
+    made.spec.tasks = tasks;
+    made.spec.cpus = 30;
+    made.spec.image = "img";
+    made.spec.estimate_s = 100;
+    cluster_.add_job(made, cluster_.jobs.size() + 1, 0);
+  }
+
+  int asked_in(const std::string& zone, double now) {
+    int machines = 0;
+    for (const Wish& wish : buyer_.wishes(cluster_, now)) {
+      if (cluster_.zones[wish.pool.zone] == zone) machines += wish.machines;
+    }
+    return machines;
+  }
+
+  settings::Platform platform_ = [] {
+    settings::Platform p;
+    p.teams = {{"red", 0, 0, 0, 0}};
+    return p;
+  }();
+  Cluster cluster_;
+  Buyer buyer_;
+};
+
+// Every gang once found the same zone large enough, and the other zones were never asked.
+TEST_F(BuyerTest, GangsThatAFullZoneCannotHoldAreRentedForInOthers) {
+  for (int i = 0; i < 4; ++i) machine("a", false);
+  const Pool full{0, cluster_.zones.find("a"), false};
+  buyer_.note_refused(full, 0);
+  gang(2);
+  gang(2);
+  EXPECT_TRUE(buyer_.wishes(cluster_, 1).empty()) << "two gangs of two fit the zone";
+  gang(3);
+  EXPECT_EQ(asked_in("a", 1), 0);
+  EXPECT_EQ(asked_in("b", 1) + asked_in("c", 1), 3);
+}
+
+// Counted as falls of the whole pool, the losses of single machines made a large pool look as if it
+// were about to fall at any time.
+TEST_F(BuyerTest, AMachineLostFromALargePoolIsAShareOfIt) {
+  for (int i = 0; i < 30; ++i) machine("a", true);
+  const Pool pool{0, cluster_.zones.find("a"), true};
+  const double before = buyer_.reclaim_chance(pool);
+  for (int i = 0; i < 3; ++i) buyer_.note_reclaim(cluster_, pool);
+  EXPECT_NEAR(buyer_.reclaim_chance(pool), before + 0.1, 0.01);
+}
+
+TEST_F(BuyerTest, AllIdleMachinesBeyondTheNeedAreFoundAtOnce) {
+  for (int i = 0; i < 20; ++i) machine("a", false);
+  gang(3);
+  EXPECT_EQ(buyer_.surplus(cluster_, 1000).size(), 17u);
+}
+
+}  // namespace
+}  // namespace reachramp::acquire
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -289,7 +289,7 @@
     const Host& host = *cluster_.host(name);
     spdlog::info("machine {} is gone", name);
     if (host.spot && host.type != kNone && host.phase != HostPhase::leaving) {
-      buyer_.note_reclaim({host.type, host.zone, true});
+      buyer_.note_reclaim(cluster_, {host.type, host.zone, true});
     }
     gone(name, now);
   }
--- /dev/null
+++ b/src/placement/order.cpp
@@ -0,0 +1,116 @@
+#include "placement/order.h"
+
+#include <algorithm>
+#include <queue>
+
+#include "placement/plan.h"
+
+namespace reachramp::placement {
+
+namespace {
+
+// A job that is late goes first again after this many times what was expected of it.
+constexpr double kPatience = 3;
+
+double urgency(const Job& job, double now) {
+  const double next = job.next_start_by(now);
+  if (next != kNever || job.start_by.empty()) return next;
+  const double expected = job.start_by.back() - job.seen_at;
+  return now - job.seen_at > kPatience * std::max(expected, 1.0) ? -kNever : kNever;
+}
+
+// Cores that arrays can count on: machines that are kept for larger tasks are not theirs.
+double common_cores(const Cluster& cluster, double now) {
+  double cores = 0;
+  for (const auto& host : cluster.hosts) {
+    if (!host || !usable(cluster, *host, now)) continue;
+    const auto* type = cluster.type_of(*host);
+    if (type != nullptr && !cluster.kept_for_large.contains({host->type, host->spot})) {
+      cores += type->cpus;
+    }
+  }
+  return cores;
+}
+
+// Aims count jobs, whatever their size: where arrays cannot all be in time, the largest wait.
+// `order` is sorted by guarantee, priority and urgency.
+void favour_the_many(const Cluster& cluster, std::vector<Index>& order,
+                     const std::vector<bool>& guaranteed, double now) {
+  const double cores = common_cores(cluster, now);
+  if (cores <= 0) return;
+  const auto rank = [&](Index i) {
+    return std::pair(!guaranteed[i], -static_cast<int>(cluster.jobs[i]->spec.priority));
+  };
+  for (auto begin = order.begin(); begin != order.end();) {
+    const auto end =
+        std::find_if(begin, order.end(), [&](Index i) { return rank(i) != rank(*begin); });
+    std::vector<Index> arrays;
+    std::vector<Claim> claims;
+    for (auto at = begin; at != end; ++at) {
+      const Job& job = *cluster.jobs[*at];
+      const double due = urgency(job, now);
+      if (job.spec.shape != jobs::Shape::array || due == kNever) continue;
+      arrays.push_back(*at);
+      const double tasks = job.spec.tasks - job.done_count;
+      claims.push_back({tasks * job.need.cpus * job.spec.estimate_s / cores, due});
+    }
+    const std::vector<bool> dropped = dropped_for_the_rest(claims, now);
+    std::vector<bool> later(cluster.jobs.size());
+    for (std::size_t i = 0; i < arrays.size(); ++i) later[arrays[i]] = dropped[i];
+    // Before those that are late already, which have no due at all.
+    const auto late =
+        std::find_if(begin, end, [&](Index i) { return urgency(*cluster.jobs[i], now) == kNever; });
+    std::stable_partition(begin, late, [&](Index i) { return !later[i]; });
+    begin = end;
+  }
+}
+
+}  // namespace
+
+std::vector<bool> dropped_for_the_rest(const std::vector<Claim>& claims, double now) {
+  std::vector<bool> dropped(claims.size());
+  std::priority_queue<std::pair<double, std::size_t>> longest;
+  double end = now;
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    end += claims[i].length;
+    longest.push({claims[i].length, i});
+    if (end <= claims[i].due || claims[i].due == -kNever) continue;
+    end -= longest.top().first;
+    dropped[longest.top().second] = true;
+    longest.pop();
+  }
+  return dropped;
+}
+
+std::vector<Index> service_order(const Cluster& cluster, double now) {
+  std::vector<Index> order;
+  for (Index i = 0; i < cluster.jobs.size(); ++i) {
+    const auto& job = cluster.jobs[i];
+    if (job && !job->cancelled && !job->complete() && job->team != kNone) order.push_back(i);
+  }
+  std::sort(order.begin(), order.end(),
+            [&](Index a, Index b) { return cluster.jobs[a]->born < cluster.jobs[b]->born; });
+  std::vector<Usage> claimed(cluster.used.size());
+  std::vector<bool> guaranteed(cluster.jobs.size());
+  for (const Index i : order) {
+    const Job& job = *cluster.jobs[i];
+    const settings::Team& team = cluster.platform.teams[job.team];
+    Usage& sum = claimed[job.team];
+    const double left = job.spec.tasks - job.done_count;
+    sum.cpus += left * job.need.cpus;
+    sum.gpus += left * job.need.gpus;
+    guaranteed[i] = (team.cpus > 0 || team.gpus > 0) && sum.cpus <= team.cpus + 1e-6 &&
+                    (job.need.gpus <= 0 || sum.gpus <= team.gpus + 1e-6);
+  }
+  std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) {
+    const Job& x = *cluster.jobs[a];
+    const Job& y = *cluster.jobs[b];
+    if (guaranteed[a] != guaranteed[b]) return bool(guaranteed[a]);
+    if (x.spec.priority != y.spec.priority) return x.spec.priority > y.spec.priority;
+    return urgency(x, now) < urgency(y, now);
+  });
+  favour_the_many(cluster, order, guaranteed, now);
+  return order;
+}
+
+}  // namespace reachramp::placement
--- /dev/null
+++ b/src/placement/order.h
@@ -0,0 +1,24 @@
+// Which jobs are served first.
+#pragma once
+
+#include "placement/cluster.h"
+
+namespace reachramp::placement {
+
+// What a team's guarantee covers first, then by priority, then so that as many jobs as possible are
+// in time: by the earliest start that is still expected, without the largest ones where there is
+// not time for all. Jobs that nothing can make timely any more wait behind the others, but not for
+// ever.
+std::vector<Index> service_order(const Cluster& cluster, double now);
+
+// A job that takes `length` of all machines' time and must be through by `due`.
+struct Claim {
+  double length = 0;
+  double due = 0;
+};
+
+// Moore and Hodgson's rule: of claims in the order of their dues, those to be dropped so that the
+// fewest miss theirs.
+std::vector<bool> dropped_for_the_rest(const std::vector<Claim>& claims, double now);
+
+}  // namespace reachramp::placement
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -5,20 +5,15 @@
 #include <algorithm>
 #include <cmath>
 
+#include "placement/order.h"
+
 namespace reachramp::placement {
 
 namespace {
 
 constexpr double kLeastNotice = 1.5;
-// A job that is late goes first again after this many times what was expected of it.
-constexpr double kPatience = 3;
 constexpr double kSlack = 1e-6;
 
-bool usable(const Cluster& cluster, const Host& host, double now) {
-  return host.phase == HostPhase::up && !host.draining && host.type != kNone &&
-         host.faults < kTooManyFaults && now - host.heard_at < cluster.platform.workers.lease_s;
-}
-
 // Tasks of the job by zone, ended attempts excepted. Nothing if one of them is in a zone that is
 // not known.
 std::optional<std::map<Index, std::uint32_t>> zones_in_use(const Cluster& cluster, const Job& job) {
@@ -77,11 +72,11 @@
   return found;
 }
 
-std::uint32_t copies_on(const Host& host, const Resources& need) {
+std::uint32_t copies_on(const Resources& room, const Resources& need) {
   double copies = 1e6;
-  if (need.cpus > 0) copies = std::min(copies, (host.free.cpus + 1e-6) / need.cpus);
-  if (need.gpus > 0) copies = std::min(copies, (host.free.gpus + 1e-6) / need.gpus);
-  if (need.ram_gb > 0) copies = std::min(copies, (host.free.ram_gb + 1e-6) / need.ram_gb);
+  if (need.cpus > 0) copies = std::min(copies, (room.cpus + 1e-6) / need.cpus);
+  if (need.gpus > 0) copies = std::min(copies, (room.gpus + 1e-6) / need.gpus);
+  if (need.ram_gb > 0) copies = std::min(copies, (room.ram_gb + 1e-6) / need.ram_gb);
   return copies < 0 ? 0 : static_cast<std::uint32_t>(copies);
 }
 
@@ -110,7 +105,7 @@
 Index best_zone(const Cluster& cluster, const Job& job, const std::vector<Index>& hosts) {
   std::map<Index, std::uint32_t> room;
   for (const Index i : hosts) {
-    room[cluster.hosts[i]->zone] += copies_on(*cluster.hosts[i], job.need);
+    room[cluster.hosts[i]->zone] += copies_on(cluster.hosts[i]->free, job.need);
   }
   Index best = kNone;
   for (const auto& [zone, copies] : room) {
@@ -119,6 +114,22 @@
   return best;
 }
 
+// Whether machines that are up would hold so many tasks of the job if nothing else ran there.
+bool could_hold(const Cluster& cluster, const Job& job, Index zone, std::uint32_t tasks,
+                double now) {
+  std::uint32_t copies = 0;
+  for (const auto& host : cluster.hosts) {
+    if (!host || (zone != kNone && host->zone != zone) || !usable(cluster, *host, now) ||
+        !allows(cluster, job, *host)) {
+      continue;
+    }
+    const auto* type = cluster.type_of(*host);
+    copies += copies_on({type->cpus, type->gpus, type->ram_gb}, job.need);
+    if (copies >= tasks) return true;
+  }
+  return false;
+}
+
 int place_array(Cluster& cluster, Index index, const std::vector<Index>& open, double now) {
   Job& job = *cluster.jobs[index];
   std::uint32_t task = cluster.next_pending(job, 0);
@@ -147,8 +158,10 @@
   return placed;
 }
 
-// All tasks of a gang or none; while it still gathers, replacements join the same attempt.
-int place_gang(Cluster& cluster, Index index, const std::vector<Index>& open, double now) {
+// All tasks of a gang or none; while it still gathers, replacements join the same attempt. A gang
+// that lacks machines keeps those of its zone from all that come after it: smaller gangs took them
+// one by one, and one of three machines waited 80 s although it was the first in line.
+int place_gang(Cluster& cluster, Index index, std::vector<Index>& open, double now) {
   Job& job = *cluster.jobs[index];
   const bool gathering = !job.attempts.empty();
   const auto wanted = job.spec.tasks - static_cast<std::uint32_t>(job.attempts.size());
@@ -178,13 +191,22 @@
   ZoneRules rules(job, std::move(*in_use));
   std::vector<Index> chosen;
   for (const Index host : hosts) {
-    std::uint32_t copies = copies_on(*cluster.hosts[host], job.need);
+    std::uint32_t copies = copies_on(cluster.hosts[host]->free, job.need);
     while (copies-- > 0 && chosen.size() < wanted && rules.allow(cluster.hosts[host]->zone)) {
       rules.take(cluster.hosts[host]->zone);
       chosen.push_back(host);
     }
   }
-  if (chosen.size() < wanted) return 0;
+  if (chosen.size() < wanted) {
+    const Index zone =
+        job.spec.one_zone && !chosen.empty() ? cluster.hosts[chosen.front()]->zone : kNone;
+    if (could_hold(cluster, job, zone, wanted, now)) {
+      std::erase_if(open, [&](Index i) {
+        return std::find(chosen.begin(), chosen.end(), i) != chosen.end();
+      });
+    }
+    return 0;
+  }
   const std::uint64_t attempt = gathering ? job.last_attempt : job.last_attempt + 1;
   std::uint32_t task = 0;
   for (const Index host : chosen) {
@@ -241,62 +263,35 @@
   }
 }
 
-double urgency(const Job& job, double now) {
-  const double next = job.next_start_by(now);
-  if (next != kNever || job.start_by.empty()) return next;
-  const double expected = job.start_by.back() - job.seen_at;
-  return now - job.seen_at > kPatience * std::max(expected, 1.0) ? -kNever : kNever;
-}
-
 }  // namespace
 
+bool usable(const Cluster& cluster, const Host& host, double now) {
+  return host.phase == HostPhase::up && !host.draining && host.type != kNone &&
+         host.faults < kTooManyFaults && now - host.heard_at < cluster.platform.workers.lease_s;
+}
+
 bool allows(const Cluster& cluster, const Job& job, const Host& host) {
   return cluster.type_of(host) != nullptr && (job.spec.spot || !host.spot) &&
          (job.zone == kNone || job.zone == host.zone) && job.fits[host.type] &&
          !cluster.is_kept_from(job, host.type, host.spot);
 }
 
-std::vector<Index> service_order(const Cluster& cluster, double now) {
-  std::vector<Index> order;
-  for (Index i = 0; i < cluster.jobs.size(); ++i) {
-    const auto& job = cluster.jobs[i];
-    if (job && !job->cancelled && !job->complete() && job->team != kNone) order.push_back(i);
-  }
-  std::sort(order.begin(), order.end(),
-            [&](Index a, Index b) { return cluster.jobs[a]->born < cluster.jobs[b]->born; });
-  std::vector<Usage> claimed(cluster.used.size());
-  std::vector<bool> guaranteed(cluster.jobs.size());
-  for (const Index i : order) {
-    const Job& job = *cluster.jobs[i];
-    const settings::Team& team = cluster.platform.teams[job.team];
-    Usage& sum = claimed[job.team];
-    const double left = job.spec.tasks - job.done_count;
-    sum.cpus += left * job.need.cpus;
-    sum.gpus += left * job.need.gpus;
-    guaranteed[i] = (team.cpus > 0 || team.gpus > 0) && sum.cpus <= team.cpus + 1e-6 &&
-                    (job.need.gpus <= 0 || sum.gpus <= team.gpus + 1e-6);
-  }
-  std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) {
-    const Job& x = *cluster.jobs[a];
-    const Job& y = *cluster.jobs[b];
-    if (guaranteed[a] != guaranteed[b]) return bool(guaranteed[a]);
-    if (x.spec.priority != y.spec.priority) return x.spec.priority > y.spec.priority;
-    return urgency(x, now) < urgency(y, now);
-  });
-  return order;
-}
-
 int plan(Cluster& cluster, double now) {
   cluster.keep_for_large(now);
   heed_notices(cluster, now);
-  const std::vector<Index> open = open_machines(cluster, now);
+  std::vector<Index> open = open_machines(cluster, now);
   int placed = 0;
   for (const Index index : service_order(cluster, now)) {
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
     if (gang) stop_broken_gang(cluster, index);
     if (now < job.not_before) continue;
-    placed += gang ? place_gang(cluster, index, open, now) : place_array(cluster, index, open, now);
+    const int more =
+        gang ? place_gang(cluster, index, open, now) : place_array(cluster, index, open, now);
+    placed += more;
+    if (more > 0 && cluster.next_pending(job, 0) == job.spec.tasks) {
+      spdlog::info("job {}: all tasks placed after {:.1f} s", job.spec.id, now - job.seen_at);
+    }
   }
   return placed;
 }
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "placement/order.h"
+
 namespace reachramp::placement {
 namespace {
 
@@ -70,6 +72,82 @@
   EXPECT_EQ(attempts.at(0).number, attempts.at(1).number);
 }
 
+// Gangs of two took the machines of a zone one pair after another from a gang of three that was
+// first in line.
+TEST_F(Plan, AGangThatLacksMachinesKeepsThemFromThoseAfterIt) {
+  const Index busy = machine("small", "a");
+  machine("small", "a");
+  machine("small", "a");
+  jobs::Header gang = header(1, 3);
+  gang.spec.team = "free";
+  gang.spec.shape = jobs::Shape::gang;
+  gang.spec.one_zone = true;
+  cluster_.add_job(gang, 1, 0);
+  ASSERT_EQ(plan(cluster_, 1), 1);
+  ASSERT_EQ(cluster_.jobs[0]->attempts.at(0).host, busy);
+  gang.spec.id = "j-three";
+  gang.spec.tasks = 3;
+  const Index three = cluster_.add_job(gang, 2, 0);
+  gang.spec.id = "j-two";
+  gang.spec.tasks = 2;
+  const Index two = cluster_.add_job(gang, 3, 0);
+  EXPECT_EQ(plan(cluster_, 2), 0);
+  cluster_.end_attempt(0, 0, 2);
+  cluster_.mark_done(0, 0, 2);
+  EXPECT_EQ(plan(cluster_, 3), 3);
+  EXPECT_EQ(cluster_.jobs[three]->attempts.size(), 3u);
+  // What could never hold it keeps nothing from anybody.
+  gang.spec.id = "j-nine";
+  gang.spec.tasks = 9;
+  cluster_.remove_job(three);
+  cluster_.add_job(gang, 1, 0);
+  EXPECT_EQ(plan(cluster_, 4), 2);
+  EXPECT_EQ(cluster_.jobs[two]->attempts.size(), 2u);
+}
+
+// A record that is longer than a value may be is refused by the state service again and again.
+TEST_F(Plan, PlacementsWaitUntilTheirRecordHasRoom) {
+  settings::Platform tight = platform_;
+  tight.state_limits.value_kb = 1;
+  Cluster cluster(tight, 1);
+  cluster.set_catalog({{"tiny", 1, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
+  for (int i = 0; i < 100; ++i) {
+    const Index index = cluster.add_host("a-machine-with-a-long-name-" + std::to_string(i), 0);
+    cluster.describe_host(index, "tiny", "a", true);
+    cluster.hosts[index]->phase = HostPhase::up;
+    cluster.hosts[index]->heard_at = 0;
+  }
+  jobs::Header array = header(100, 1);
+  array.spec.team = "free";
+  const Index job = cluster.add_job(array, 1, 0);
+  std::uint32_t rounds = 0;
+  for (double now = 1; !cluster.jobs[job]->complete(); ++now) {
+    ASSERT_GT(plan(cluster, now), 0);
+    for (std::size_t chunk = 0; chunk < cluster.jobs[job]->chunks.size(); ++chunk) {
+      const auto record = cluster.chunk_record(*cluster.jobs[job], chunk);
+      EXPECT_LE(wire::json_size(jobs::encode_chunk(record)), 1024u);
+    }
+    const auto attempts = cluster.jobs[job]->attempts;
+    for (const auto& [task, attempt] : attempts) {
+      cluster.mark_done(job, task, now);
+      cluster.end_attempt(job, task, now);
+    }
+    ++rounds;
+  }
+  EXPECT_GT(rounds, 1u) << "not all at once";
+}
+
+TEST_F(Plan, NoTaskGetsTheSameAttemptTwice) {
+  machine("small", "a");
+  const Index job = cluster_.add_job(header(2, 1), 1, 0);
+  plan(cluster_, 1);
+  const std::uint64_t first = cluster_.jobs[job]->attempts.at(0).number;
+  EXPECT_EQ(cluster_.jobs[job]->attempts.at(1).number, first);
+  cluster_.end_attempt(job, 0, 2);
+  plan(cluster_, 3);
+  EXPECT_GT(cluster_.jobs[job]->attempts.at(0).number, first);
+}
+
 TEST_F(Plan, SpreadPutsAtMostHalfRoundedUpInOneZone) {
   machine("large", "a");
   jobs::Header spread = header(5, 1);
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -179,6 +179,7 @@
     const std::uint64_t baton = leader_->cluster().baton;
     if (outbox.commit) {
       const state::Transaction transaction = outbox.commit->transaction;
+      check_limits(transaction);
       if (chance(0.04)) {  // no answer, but applied, perhaps late
         later(chance(0.5) ? delay() : between(0.5, 6),
               [this, transaction] { store_.commit(transaction); });
@@ -199,6 +200,19 @@
     if (outbox.resign) depose();
   }
 
+  void check_limits(const state::Transaction& transaction) {
+    const settings::StateLimits& limits = platform_.state_limits;
+    const auto ops = static_cast<std::size_t>(limits.txn_ops);
+    if (transaction.writes.size() > ops || transaction.conditions.size() > 4 * ops) {
+      break_rule("a transaction too large");
+    }
+    for (const state::Write& write : transaction.writes) {
+      if (write.value && wire::json_size(*write.value) > limits.value_kb * 1024) {
+        break_rule("a value too large: " + write.key);
+      }
+    }
+  }
+
   void settled(std::uint64_t baton, const state::Committed& committed) {
     if (leader_ && leader_->cluster().baton == baton) leader_->on_settled(committed, now_);
   }
