Gangs beyond a guarantee yield; records have room for all their tasks; connections for all workers

Cause: gangs within their team's guarantee waited up to 33 s while teams beyond theirs held the large machines. Whole gangs that save their progress are stopped for them after 3 s, when that is enough. At most 400 connections were accepted, and up to 512 workers come: the idlest was closed for each new one. The number now follows the descriptors and the memory of the machine.

--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -249,7 +249,7 @@
   std::map<std::vector<Pool>, Group> by_pools;
   std::vector<placement::Usage> claimed(cluster.used.size());
   ZoneChoice zones(*this, cluster, now);
-  for (const Index index : placement::service_order(cluster, now)) {
+  for (const Index index : placement::service_order(cluster, now).order) {
     const Job& job = *cluster.jobs[index];
     if (now < job.not_before) continue;
     const settings::Team& team = cluster.platform.teams[job.team];
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -27,9 +27,12 @@
 wire::Reply no_path() { return {404, {{"error", "no such path"}}}; }
 wire::Reply no_method() { return {405, {{"error", "no such method here"}}}; }
 
-// A third of the descriptors for users and workers each leaves room for outgoing connections.
+// Every worker may come to one node, beside users. The descriptors that are left are for
+// connections to others; a connection's thread and buffers were measured to take 43 KB.
 std::size_t most_connections(const settings::Platform& platform) {
-  return static_cast<std::size_t>(std::clamp(platform.fd_limit / 2, 16, 400));
+  constexpr double kConnectionMb = 0.044;
+  const double most = std::min(platform.fd_limit * 0.7, platform.ram_mb * 0.5 / kConnectionMb);
+  return static_cast<std::size_t>(std::max(most, 16.0));
 }
 
 }  // namespace
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -9,7 +9,7 @@
 // JSON bytes reckoned for a task of a gang or a service, each on a machine of its own, and for one
 // of an array, several of which share a machine or wait for room.
 constexpr double kBytesPerTask = 56;
-constexpr double kBytesPerArrayTask = 10;
+constexpr double kBytesPerArrayTask = 20;
 constexpr double kSlack = 1e-9;
 constexpr double kKeepForLarge_s = 300;
 
@@ -40,6 +40,14 @@
   return need.cpus <= cpus + slack && need.gpus <= gpus + slack && need.ram_gb <= ram_gb + slack;
 }
 
+std::uint32_t Resources::copies(const Resources& need) const {
+  double copies = 1e6;
+  if (need.cpus > 0) copies = std::min(copies, (cpus + 1e-6) / need.cpus);
+  if (need.gpus > 0) copies = std::min(copies, (gpus + 1e-6) / need.gpus);
+  if (need.ram_gb > 0) copies = std::min(copies, (ram_gb + 1e-6) / need.ram_gb);
+  return copies < 0 ? 0 : static_cast<std::uint32_t>(copies);
+}
+
 Resources Resources::times(double f) const { return {cpus * f, gpus * f, ram_gb * f}; }
 
 std::size_t Job::open_attempts() const {
@@ -302,6 +310,13 @@
   notice_over(index);
 }
 
+void Cluster::stop(Index index, std::uint32_t task, double wind_down_s) {
+  Attempt& attempt = jobs[index]->attempts.at(task);
+  if (attempt.stopping) return;
+  attempt.stopping = true;
+  attempt.wind_down_s = wind_down_s;
+}
+
 void Cluster::cancel(Index index, double now) {
   Job& job = *jobs[index];
   job.cancelled = true;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -44,6 +44,7 @@
   Resources& operator+=(const Resources& other);
   Resources& operator-=(const Resources& other);
   bool holds(const Resources& need) const;
+  std::uint32_t copies(const Resources& need) const;  // how many times it holds it
   Resources times(double factor) const;
 };
 
@@ -239,6 +240,8 @@
   void end_attempt(Index job, std::uint32_t task, double now);
   void mark_done(Index job, std::uint32_t task, double now);
   void cancel(Index job, double now);
+  // Asks for the attempt's end; whoever stops first sets how long it may wind down.
+  void stop(Index job, std::uint32_t task, double wind_down_s);
   // Notes the types that large tasks need, and forgets those that none has needed for long.
   void keep_for_large(double now);
   // Whether the type is kept for larger tasks than the job's.
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -82,7 +82,7 @@
   return dropped;
 }
 
-std::vector<Index> service_order(const Cluster& cluster, double now) {
+Service service_order(const Cluster& cluster, double now) {
   std::vector<Index> order;
   for (Index i = 0; i < cluster.jobs.size(); ++i) {
     const auto& job = cluster.jobs[i];
@@ -110,7 +110,7 @@
     return urgency(x, now) < urgency(y, now);
   });
   favour_the_many(cluster, order, guaranteed, now);
-  return order;
+  return {std::move(order), std::move(guaranteed)};
 }
 
 }  // namespace reachramp::placement
--- a/src/placement/order.h
+++ b/src/placement/order.h
@@ -9,7 +9,11 @@
 // in time: by the earliest start that is still expected, without the largest ones where there is
 // not time for all. Jobs that nothing can make timely any more wait behind the others, but not for
 // ever.
-std::vector<Index> service_order(const Cluster& cluster, double now);
+struct Service {
+  std::vector<Index> order;
+  std::vector<bool> guaranteed;  // by job
+};
+Service service_order(const Cluster& cluster, double now);
 
 // A job that takes `length` of all machines' time and must be through by `due`.
 struct Claim {
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "placement/order.h"
+#include "placement/preempt.h"
 
 namespace reachramp::placement {
 
@@ -72,14 +73,6 @@
   return found;
 }
 
-std::uint32_t copies_on(const Resources& room, const Resources& need) {
-  double copies = 1e6;
-  if (need.cpus > 0) copies = std::min(copies, (room.cpus + 1e-6) / need.cpus);
-  if (need.gpus > 0) copies = std::min(copies, (room.gpus + 1e-6) / need.gpus);
-  if (need.ram_gb > 0) copies = std::min(copies, (room.ram_gb + 1e-6) / need.ram_gb);
-  return copies < 0 ? 0 : static_cast<std::uint32_t>(copies);
-}
-
 // Keeps to the zone rules of one job while its tasks are placed one by one.
 class ZoneRules {
  public:
@@ -105,7 +98,7 @@
 Index best_zone(const Cluster& cluster, const Job& job, const std::vector<Index>& hosts) {
   std::map<Index, std::uint32_t> room;
   for (const Index i : hosts) {
-    room[cluster.hosts[i]->zone] += copies_on(cluster.hosts[i]->free, job.need);
+    room[cluster.hosts[i]->zone] += cluster.hosts[i]->free.copies(job.need);
   }
   Index best = kNone;
   for (const auto& [zone, copies] : room) {
@@ -124,7 +117,7 @@
       continue;
     }
     const auto* type = cluster.type_of(*host);
-    copies += copies_on({type->cpus, type->gpus, type->ram_gb}, job.need);
+    copies += Resources{type->cpus, type->gpus, type->ram_gb}.copies(job.need);
     if (copies >= tasks) return true;
   }
   return false;
@@ -191,7 +184,7 @@
   ZoneRules rules(job, std::move(*in_use));
   std::vector<Index> chosen;
   for (const Index host : hosts) {
-    std::uint32_t copies = copies_on(cluster.hosts[host]->free, job.need);
+    std::uint32_t copies = cluster.hosts[host]->free.copies(job.need);
     while (copies-- > 0 && chosen.size() < wanted && rules.allow(cluster.hosts[host]->zone)) {
       rules.take(cluster.hosts[host]->zone);
       chosen.push_back(host);
@@ -216,13 +209,6 @@
   return static_cast<int>(wanted);
 }
 
-void stop(Cluster& cluster, Index job_index, std::uint32_t task, double wind_down_s) {
-  Attempt& attempt = cluster.jobs[job_index]->attempts.at(task);
-  if (attempt.stopping) return;
-  attempt.stopping = true;
-  attempt.wind_down_s = wind_down_s;
-}
-
 // A gang that lost a task cannot go on: the rest is stopped and a new attempt begins once all of
 // it is gone.
 void stop_broken_gang(Cluster& cluster, Index index) {
@@ -233,7 +219,7 @@
                                     [](const auto& entry) { return entry.second.stopping; });
   if (!torn && !stopping) return;
   for (auto& [task, attempt] : job.attempts) {
-    stop(cluster, index, task, torn ? 0 : job.spec.save_s + 1);
+    cluster.stop(index, task, torn ? 0 : job.spec.save_s + 1);
   }
   cluster.release_unsent(index, 0);
 }
@@ -254,9 +240,9 @@
       const bool saves = job.spec.checkpoint_s > 0;
       if (!started || (saves && attempt.seen == Seen::running) ||
           (reclaimed && attempt.seen == Seen::fetching)) {
-        stop(cluster, ref.job, ref.task,
-             reclaimed ? std::max(job.spec.save_s, host->reclaim_at - now - kLeastNotice)
-                       : job.spec.save_s + 1);
+        cluster.stop(ref.job, ref.task,
+                     reclaimed ? std::max(job.spec.save_s, host->reclaim_at - now - kLeastNotice)
+                               : job.spec.save_s + 1);
         cluster.release_unsent(ref.job, now);
       }
     }
@@ -281,7 +267,8 @@
   heed_notices(cluster, now);
   std::vector<Index> open = open_machines(cluster, now);
   int placed = 0;
-  for (const Index index : service_order(cluster, now)) {
+  const Service service = service_order(cluster, now);
+  for (const Index index : service.order) {
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
     if (gang) stop_broken_gang(cluster, index);
@@ -293,6 +280,7 @@
       spdlog::info("job {}: all tasks placed after {:.1f} s", job.spec.id, now - job.seen_at);
     }
   }
+  preempt(cluster, service, now);
   return placed;
 }
 
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -166,7 +166,7 @@
   owed.spec.team = "blue";
   owed.spec.priority = jobs::Priority::low;
   const Index guaranteed = cluster_.add_job(owed, 2, 0);
-  EXPECT_EQ(service_order(cluster_, 0), (std::vector<Index>{guaranteed, borrowed}));
+  EXPECT_EQ(service_order(cluster_, 0).order, (std::vector<Index>{guaranteed, borrowed}));
 }
 
 TEST_F(Plan, WhatCanBeInTimeGoesBeforeWhatCannotButNotForEver) {
@@ -174,9 +174,9 @@
   late.spec.deadline_s = 20;
   const Index first = cluster_.add_job(late, 1, 0);
   const Index second = cluster_.add_job(late, 2, 15);
-  EXPECT_EQ(service_order(cluster_, 5), (std::vector<Index>{first, second}));
-  EXPECT_EQ(service_order(cluster_, 16), (std::vector<Index>{second, first}));
-  EXPECT_EQ(service_order(cluster_, 40), (std::vector<Index>{first, second}));
+  EXPECT_EQ(service_order(cluster_, 5).order, (std::vector<Index>{first, second}));
+  EXPECT_EQ(service_order(cluster_, 16).order, (std::vector<Index>{second, first}));
+  EXPECT_EQ(service_order(cluster_, 40).order, (std::vector<Index>{first, second}));
 }
 
 // Small tasks once filled the few machines that whole-machine gangs wait for.
--- /dev/null
+++ b/src/placement/preempt.cpp
@@ -0,0 +1,163 @@
+#include "placement/preempt.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <map>
+
+#include "placement/plan.h"
+
+namespace reachramp::placement {
+
+namespace {
+
+// Room may come by itself, and a start that is stopped at once was for nothing.
+constexpr double kWaitFirst_s = 3;
+constexpr double kRunAtLeast_s = 30;
+
+// PROTOCOL, "Preemption": for higher priority, or what another team runs beyond its own guarantee.
+// `yielded`: cores by team that are being stopped already.
+bool may_stop(const Cluster& cluster, const Job& victim, const Job& claimant, bool claims_guarantee,
+              const std::vector<double>& yielded) {
+  if (victim.spec.priority < claimant.spec.priority) return true;
+  if (!claims_guarantee || victim.team == claimant.team || victim.team == kNone) return false;
+  const double guarantee = cluster.platform.teams[victim.team].cpus;
+  const double left = cluster.used[victim.team].cpus - yielded[victim.team] -
+                      victim.need.cpus * static_cast<double>(victim.attempts.size());
+  return left + 1e-6 >= guarantee;
+}
+
+// A gang that runs, loses little when it is stopped, and is not being stopped yet.
+bool can_yield(const Job& job, double now) {
+  if (job.spec.shape != jobs::Shape::gang || job.spec.checkpoint_s <= 0 || !job.gang_started ||
+      job.cancelled || job.complete()) {
+    return false;
+  }
+  return std::all_of(job.attempts.begin(), job.attempts.end(), [&](const auto& entry) {
+    const Attempt& attempt = entry.second;
+    return attempt.seen == Seen::running && !attempt.stopping &&
+           now - attempt.running_since >= kRunAtLeast_s;
+  });
+}
+
+// Copies of a task that the machine holds once all that is being stopped there has ended.
+std::uint32_t copies_after_stops(const Cluster& cluster, const Host& host, const Job& job) {
+  Resources room = host.free;
+  for (const TaskRef& ref : host.attempts) {
+    const Job& other = *cluster.jobs[ref.job];
+    if (other.attempts.at(ref.task).stopping) room += other.need;
+  }
+  return room.copies(job.need);
+}
+
+// Room in each zone that a waiting gang may use; taken off as gangs are seen to.
+using Room = std::map<Index, std::uint32_t>;
+
+Room room_for(const Cluster& cluster, const Job& job, double now) {
+  Room room;
+  for (const auto& host : cluster.hosts) {
+    if (host && usable(cluster, *host, now) && allows(cluster, job, *host)) {
+      room[host->zone] += copies_after_stops(cluster, *host, job);
+    }
+  }
+  return room;
+}
+
+// Gangs to be stopped so that `missing` tasks of the claimant find room in the zone; none if even
+// all that may be stopped would not do.
+std::vector<Index> victims_in(const Cluster& cluster, const Job& claimant, bool claims_guarantee,
+                              Index zone, std::uint32_t missing, std::vector<double>& yielded,
+                              double now) {
+  std::vector<std::pair<std::uint32_t, Index>> found;
+  for (Index i = 0; i < cluster.jobs.size(); ++i) {
+    const auto& job = cluster.jobs[i];
+    if (!job || !can_yield(*job, now) ||
+        !may_stop(cluster, *job, claimant, claims_guarantee, yielded)) {
+      continue;
+    }
+    std::uint32_t freed = 0;
+    for (const auto& [task, attempt] : job->attempts) {
+      const Host& host = *cluster.hosts[attempt.host];
+      if (host.zone != zone || !usable(cluster, host, now) || !allows(cluster, claimant, host)) {
+        continue;
+      }
+      Resources room = host.free;
+      room += job->need;
+      freed += room.copies(claimant.need) > host.free.copies(claimant.need) ? 1 : 0;
+    }
+    if (freed > 0) found.emplace_back(freed, i);
+  }
+  std::sort(found.begin(), found.end());
+  std::vector<Index> victims;
+  const auto take = [&](Index victim) {
+    const Job& job = *cluster.jobs[victim];
+    victims.push_back(victim);
+    yielded[job.team] += job.need.cpus * static_cast<double>(job.attempts.size());
+  };
+  // The one that frees just enough, else several, the largest first.
+  const auto enough = std::find_if(found.begin(), found.end(),
+                                   [&](const auto& one) { return one.first >= missing; });
+  if (enough != found.end()) {
+    take(enough->second);
+    return victims;
+  }
+  const std::vector<double> before = yielded;
+  std::uint32_t freed = 0;
+  for (auto at = found.rbegin(); at != found.rend() && freed < missing; ++at) {
+    if (!may_stop(cluster, *cluster.jobs[at->second], claimant, claims_guarantee, yielded))
+      continue;
+    take(at->second);
+    freed += at->first;
+  }
+  if (freed >= missing) return victims;
+  yielded = before;
+  return {};
+}
+
+}  // namespace
+
+void preempt(Cluster& cluster, const Service& service, double now) {
+  std::map<Index, std::uint32_t> promised;  // by zone, to claimants before
+  std::vector<double> yielded(cluster.used.size());
+  for (const auto& job : cluster.jobs) {
+    if (!job || job->team == kNone) continue;
+    for (const auto& [task, attempt] : job->attempts) {
+      if (attempt.stopping) yielded[job->team] += job->need.cpus;
+    }
+  }
+  for (const Index index : service.order) {
+    const Job& job = *cluster.jobs[index];
+    const bool claims_guarantee =
+        service.guaranteed[index] && cluster.used[job.team].cpus + job.need.cpus * job.spec.tasks <=
+                                         cluster.platform.teams[job.team].cpus + 1e-6;
+    if (job.spec.shape != jobs::Shape::gang || !job.attempts.empty() || now < job.not_before ||
+        now - job.seen_at < kWaitFirst_s || !cluster.within_limit(job, job.spec.tasks) ||
+        (job.spec.tasks > 1 && !job.spec.one_zone)) {
+      continue;
+    }
+    Room room = room_for(cluster, job, now);
+    for (auto& [zone, copies] : room) copies -= std::min(copies, promised[zone]);
+    std::vector<std::pair<std::uint32_t, Index>> zones;  // the fullest claims first
+    for (const auto& [zone, copies] : room) zones.emplace_back(copies, zone);
+    std::sort(zones.rbegin(), zones.rend());
+    for (const auto& [copies, zone] : zones) {
+      std::vector<Index> victims;
+      if (copies < job.spec.tasks) {
+        victims =
+            victims_in(cluster, job, claims_guarantee, zone, job.spec.tasks - copies, yielded, now);
+        if (victims.empty()) continue;
+      }
+      for (const Index victim : victims) {
+        Job& loser = *cluster.jobs[victim];
+        spdlog::info("job {} makes room for {}", loser.spec.id, job.spec.id);
+        for (const auto& [task, attempt] : loser.attempts) {
+          cluster.stop(victim, task, loser.spec.save_s + 1);
+        }
+      }
+      promised[zone] += job.spec.tasks;
+      break;
+    }
+  }
+}
+
+}  // namespace reachramp::placement
--- /dev/null
+++ b/src/placement/preempt_test.cpp
@@ -0,0 +1,107 @@
+#include "placement/preempt.h"
+
+#include <gtest/gtest.h>
+
+#include "placement/plan.h"
+
+namespace reachramp::placement {
+namespace {
+
+// Two machines; one team may run there what another may claim back.
+class Preempt : public ::testing::Test {
+ protected:
+  Preempt() : cluster_(platform_, 1) {
+    cluster_.set_catalog({{"large", 32, 0, 128, 50, 1, 3.2, 0.8, 5, {"a"}}});
+    for (int i = 0; i < 2; ++i) {
+      const Index index = cluster_.add_host("n-" + std::to_string(i), 0);
+      cluster_.describe_host(index, "large", "a", false);
+      cluster_.hosts[index]->phase = HostPhase::up;
+      cluster_.hosts[index]->heard_at = 100;
+    }
+  }
+
+  Index gang(const char* team, std::uint32_t tasks, double now) {
+    jobs::Header made;
+    made.spec.id = "j-" + std::to_string(cluster_.jobs.size());
+    made.spec.team = team;
+    made.spec.shape = jobs::Shape::gang;
+    made.spec.one_zone = true;
+    made.spec.tasks = tasks;
+    made.spec.cpus = 30;
+    made.spec.image = "img";
+    made.spec.checkpoint_s = 15;
+    made.spec.save_s = 4;
+    return cluster_.add_job(made, cluster_.jobs.size() + 1, now);
+  }
+
+  Index running(const char* team, std::uint32_t tasks, double since) {
+    const Index index = gang(team, tasks, since);
+    EXPECT_EQ(plan(cluster_, since), static_cast<int>(tasks));
+    Job& job = *cluster_.jobs[index];
+    job.gang_started = true;
+    for (auto& [task, attempt] : job.attempts) {
+      attempt.sent = true;
+      attempt.seen = Seen::running;
+      attempt.running_since = since;
+    }
+    return index;
+  }
+
+  bool stops(Index job) const {
+    const auto& attempts = cluster_.jobs[job]->attempts;
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [](const auto& entry) { return entry.second.stopping; });
+  }
+
+  settings::Platform platform_ = [] {
+    settings::Platform p;
+    p.workers.lease_s = 1000;
+    p.teams = {{"borrows", 30, 0, 0, 0}, {"owed", 60, 0, 0, 0}, {"none", 0, 0, 0, 0}};
+    return p;
+  }();
+  Cluster cluster_;
+};
+
+TEST_F(Preempt, AGuaranteeIsTakenBackFromWhoeverRunsBeyondTheirs) {
+  const Index borrowed = running("none", 2, 100);
+  gang("owed", 2, 140);
+  plan(cluster_, 141);
+  EXPECT_FALSE(stops(borrowed)) << "room may yet come by itself";
+  plan(cluster_, 145);
+  EXPECT_TRUE(stops(borrowed));
+  for (const auto& [task, attempt] : cluster_.jobs[borrowed]->attempts) {
+    EXPECT_GE(attempt.wind_down_s, 4) << "all of it, with time to save";
+  }
+}
+
+TEST_F(Preempt, WhatIsWithinAGuaranteeOrWouldNotDoIsLeftAlone) {
+  const Index own = running("borrows", 1, 100);
+  const Index beyond = running("none", 1, 100);
+  const Index large = gang("owed", 2, 140);
+  plan(cluster_, 145);
+  EXPECT_FALSE(stops(own));
+  EXPECT_FALSE(stops(beyond)) << "its machine alone would not do";
+  cluster_.remove_job(large);
+  gang("owed", 1, 140);
+  plan(cluster_, 146);
+  EXPECT_TRUE(stops(beyond));
+}
+
+TEST_F(Preempt, WorkBeyondTheGuaranteeOrOfTheSameTeamClaimsNothing) {
+  const Index first = running("none", 2, 100);
+  gang("none", 2, 140);
+  gang("borrows", 2, 140);
+  plan(cluster_, 145);
+  EXPECT_FALSE(stops(first));
+}
+
+TEST_F(Preempt, OneClaimStopsOneGang) {
+  const Index left = running("none", 1, 100);
+  const Index right = running("none", 1, 101);
+  gang("owed", 1, 140);
+  for (double now = 145; now < 150; ++now) plan(cluster_, now);
+  EXPECT_NE(stops(left), stops(right));
+}
+
+}  // namespace
+}  // namespace reachramp::placement
--- a/src/settings/platform.cpp
+++ b/src/settings/platform.cpp
@@ -141,6 +141,7 @@
   const Table cloud = facts.table("cloud");
   platform.cloud_limits = {cloud.amount("rps", 0.1), cloud.amount("list_lag_s", 0)};
   platform.fd_limit = static_cast<int>(facts.table("limits").amount("fd_limit", 32));
+  platform.ram_mb = facts.table("limits").amount("ram_mb", 8);
   return platform;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -71,6 +71,7 @@
   StateLimits state_limits;
   CloudLimits cloud_limits;
   int fd_limit = 512;
+  double ram_mb = 64;
 };
 
 // The knobs of Tributary that operators may turn; see docs/design.md.
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -37,6 +37,7 @@
 rps = 5.0
 list_lag_s = 3.0
 [facts.limits]
+ram_mb = 56.0
 fd_limit = 700
 )";
 
