Workers stay at any node, which carries their reports to the leader

Now a node keeps its workers and carries their reports, waiting up to 2.5 s for a new leader, within the 4 s that a worker waits. A leader's death silences only its own share of the workers.

--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -17,6 +17,9 @@
 
 constexpr const char* kCatalogKey = "catalog";
 constexpr auto kReportLimit = 3s;
+// Less than the 4 s that a worker waits.
+constexpr double kCarryFor_s = 2.5;
+constexpr double kCarryAgain_s = 0.5;
 constexpr double kOwnerTick_s = 0.1;
 constexpr auto kFollowFor = 2000ms;
 constexpr double kCatalogEvery_s = 10;
@@ -54,7 +57,7 @@
   threads.emplace_back([this] { watch_jobs(); });
   threads.emplace_back([this] { deal_with_cloud(); });
   for (int i = 0; i < kGreeters; ++i) threads.emplace_back([this] { greet(); });
-  wire::Server peers(platform_.cluster_listen, 64,
+  wire::Server peers(platform_.cluster_listen, most_connections(platform_) / 2,
                      [this](const wire::Request& request) { return serve_peer(request); });
   wire::Server server(platform_.serve_on, most_connections(platform_),
                       [this](const wire::Request& request) { return serve(request); });
@@ -99,26 +102,33 @@
 
 wire::Reply Node::report(const std::string& body, Origin origin) {
   const wire::Json message = wire::decode_map(body);
-  workers::Report report = workers::decode_report(message);
-  const leadership::Standing standing = campaign_.standing();
-  if (standing.baton != 0) {
-    auto reply = std::make_shared<std::promise<wire::Reply>>();
-    std::future<wire::Reply> answer = reply->get_future();
-    commands_.push({standing.baton, ReportIn{std::move(report), reply}});
-    if (answer.wait_for(kReportLimit) == std::future_status::ready) return answer.get();
-    return {503, {{"error", "busy"}}};
-  }
-  if (origin == Origin::relay || standing.leader.empty() ||
-      standing.leader == platform_.node_name) {
-    return {503, {{"error", "no leader"}}};
-  }
-  const double now = steady_now();
-  const bool worker = origin == Origin::worker;
-  if (!worker || relay_.should_carry(report.host, !report.pieces.empty(), now)) {
-    if (auto answer = relay_.carry(standing.leader, message, worker, now)) return *answer;
-    return {503, {{"error", "the leader does not answer"}}};
+  const workers::Report report = workers::decode_report(message);
+  const double give_up = steady_now() + kCarryFor_s;
+  for (;;) {
+    const leadership::Standing standing = campaign_.standing();
+    if (standing.baton != 0) return ask_owner(standing.baton, report);
+    if (origin == Origin::relay) break;
+    const double now = steady_now();
+    const bool detour = origin == Origin::worker;
+    if (!standing.leader.empty() && standing.leader != platform_.node_name) {
+      if (auto answer = relay_.carry(standing.leader, message, detour, now)) return *answer;
+    }
+    // A leader that has just died is replaced well within the time that a worker waits for an
+    // answer. Turned away, it would try the next node, which may be gone as well: workers lost
+    // their leases to two dead nodes in a row.
+    const double left = give_up - steady_now();
+    if (!detour || left <= 0) break;
+    campaign_.wait_for_change(standing, std::min(left, kCarryAgain_s));
   }
-  return {421, {{"upstream", standing.leader}}};
+  return {503, {{"error", "no leader answers"}}};
+}
+
+wire::Reply Node::ask_owner(std::uint64_t baton, const workers::Report& report) {
+  auto reply = std::make_shared<std::promise<wire::Reply>>();
+  std::future<wire::Reply> answer = reply->get_future();
+  commands_.push({baton, ReportIn{report, reply}});
+  if (answer.wait_for(kReportLimit) == std::future_status::ready) return answer.get();
+  return {503, {{"error", "busy"}}};
 }
 
 std::shared_ptr<const cloud::Catalog> Node::catalog() {
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -88,6 +88,7 @@
   // Where a report comes from decides how far it may still be carried.
   enum class Origin { worker, onward, relay };
   wire::Reply report(const std::string& body, Origin origin);
+  wire::Reply ask_owner(std::uint64_t baton, const workers::Report& report);
   std::shared_ptr<const cloud::Catalog> catalog();
   void learn_catalog(const cloud::Catalog& catalog);
 
--- a/src/leadership/campaign.cpp
+++ b/src/leadership/campaign.cpp
@@ -42,6 +42,12 @@
   return standing_;
 }
 
+void Campaign::wait_for_change(const Standing& from, double seconds) {
+  std::unique_lock lock(mutex_);
+  changed_.wait_for(lock, std::chrono::duration<double>(seconds),
+                    [&] { return standing_ != from; });
+}
+
 std::uint64_t Campaign::wait_to_lead(std::uint64_t last) {
   std::unique_lock lock(mutex_);
   changed_.wait(lock, [&] { return standing_.baton != 0 && standing_.baton != last; });
--- a/src/leadership/campaign.h
+++ b/src/leadership/campaign.h
@@ -13,6 +13,7 @@
 struct Standing {
   std::uint64_t baton = 0;  // ours; 0 while we do not lead
   std::string leader;       // node that leads, as far as we know; empty: none
+  bool operator==(const Standing&) const = default;
 };
 
 class Campaign {
@@ -23,6 +24,8 @@
   void run();
 
   Standing standing();
+  // Waits until the standing is another, or the time is over.
+  void wait_for_change(const Standing& from, double seconds);
   // Waits until we lead with a baton other than `last`.
   std::uint64_t wait_to_lead(std::uint64_t last);
   // Gives the lead up because it has passed to another (who is known by a higher baton).
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -7,28 +7,17 @@
 // Twice this, on a detour, is still less than a worker waits.
 constexpr auto kLimit = std::chrono::milliseconds(1500);
 constexpr double kCutOffFor_s = 4;
-constexpr std::size_t kMostRemembered = 10000;
+constexpr std::size_t kKept = 64;  // connections to each node
 
 }  // namespace
 
-Relay::Relay(const settings::Platform& platform) : memory_s_(2 * platform.workers.lease_s) {
+Relay::Relay(const settings::Platform& platform) {
   for (const settings::Member& member : platform.members) {
     clients_[member.name] =
-        std::make_unique<wire::Client>(member.address, 16, 2 * wire::kBodyLimit);
+        std::make_unique<wire::Client>(member.address, kKept, 2 * wire::kBodyLimit);
   }
 }
 
-bool Relay::should_carry(const std::string& host, bool has_work, double now) {
-  std::lock_guard lock(mutex_);
-  std::erase_if(sent_on_, [&](const auto& entry) { return now - entry.second > memory_s_; });
-  if (has_work || sent_on_.contains(host)) {
-    if (sent_on_.contains(host)) sent_on_[host] = now;
-    return true;
-  }
-  if (sent_on_.size() < kMostRemembered) sent_on_[host] = now;
-  return false;
-}
-
 bool Relay::cut_off(const std::string& leader, double now) {
   std::lock_guard lock(mutex_);
   const auto at = cut_off_until_.find(leader);
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -1,4 +1,5 @@
-// Carries workers' reports to the leader when a worker reaches this node but not the leader.
+// Carries workers' reports to the leader. Workers stay where they are: were all of them at the
+// leader, its death would silence the whole fleet at once.
 #pragma once
 
 #include <map>
@@ -19,10 +20,6 @@
  public:
   explicit Relay(const settings::Platform& platform);
 
-  // Whether to carry a report, rather than send its worker to the leader: a machine with work on
-  // it must not spend its lease on finding out that it cannot reach the leader, and one that was
-  // sent there and is back evidently cannot.
-  bool should_carry(const std::string& host, bool has_work, double now);
   // The leader's response, or nothing if it cannot be had: straight from the leader or, if that
   // fails and `detour` is allowed, through another node.
   std::optional<wire::Reply> carry(const std::string& leader, const wire::Json& report, bool detour,
@@ -31,10 +28,8 @@
  private:
   bool cut_off(const std::string& leader, double now);
 
-  const double memory_s_;
   std::map<std::string, std::unique_ptr<wire::Client>> clients_;
   std::mutex mutex_;
-  std::map<std::string, double> sent_on_;
   std::map<std::string, double> cut_off_until_;
 };
 
