A new leader rents nothing before it knows what it has

Records name machines only, and a machine that had not reported to the new leader yet counted as one that fails to boot. Ruled out: the pool records (a request that is out was repeated under its name, as it should be). Now nothing is rented before the first machine list of a lead, and a machine listed as running counts.

--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -26,7 +26,8 @@
 constexpr double kLeastCharge_s = 60;
 // Owners' estimates are often wrong by half.
 constexpr double kEstimateMargin = 1.5;
-// Work that comes while a machine is idle saves a boot. Measured on four days: 20 s and 3 s cost more.
+// Work that comes while a machine is idle saves a boot. Measured on four days: 20 s and 3 s cost
+// more.
 constexpr double kIdleKeep_s = 8;
 // Late work is worth ordinary machines only as far as cheap ones would take longer than this.
 constexpr double kLateHorizons = 4;
@@ -57,7 +58,8 @@
       host.faults >= placement::kTooManyFaults) {
     return false;
   }
-  return host.phase == HostPhase::up || now - host.rented_at < kLateBoot * type->boot_s;
+  return host.phase == HostPhase::up || host.runs ||
+         now - host.rented_at < kLateBoot * type->boot_s;
 }
 
 // Cores of the machines at hand that may run the job.
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -243,6 +243,7 @@
 }
 
 void Leader::on_list(const std::vector<cloud::Listed>& listed, double asked_at, double now) {
+  listed_ = true;
   const double lag = platform_.cloud_limits.list_lag_s;
   std::set<std::string> names;
   std::vector<std::string> failed;
@@ -263,6 +264,7 @@
     Host& host = *cluster_.hosts[index];
     // Whoever learnt of the machine from a report or a record does not know its age.
     host.rented_at = std::min(host.rented_at, now - machine.held_s);
+    host.runs = machine.phase == cloud::MachinePhase::running;
     if (fresh) rebuy_ = true;
     if (!machine.address.empty()) host.address = machine.address;
     if (!host.ours && !host.address.empty() && machine.phase == cloud::MachinePhase::running &&
@@ -408,7 +410,9 @@
     upkeep(now);
   }
   const double since_buy = now - bought_at_;
-  if (!current) {
+  // Records only name machines. Until a list or their reports tell what they are and that they run
+  // they count for nothing, and each new leader rented the whole fleet once more.
+  if (!current || !listed_) {
     rebuy_ = true;
   } else if (since_buy >= policy_.tick_s || (rebuy_ && since_buy >= kBuyAtMostEvery)) {
     rebuy_ = false;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -106,6 +106,7 @@
   double planned_at_ = -1e9;
   double bought_at_ = -1e9;
   double upkeep_at_ = -1e9;
+  bool listed_ = false;  // the machines have been listed under this lead
   bool replan_ = true;
   bool rebuy_ = true;
   bool deposed_ = false;
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -172,6 +172,35 @@
   for (const auto& write : rest->transaction.writes) EXPECT_FALSE(write.value) << write.key;
 }
 
+// inc-afc1: four changes of leaders in a day, and each new one asked for the whole fleet again,
+// since it knew the machines by name only.
+TEST_F(LeaderTest, ItRentsNothingBeforeItKnowsWhatItHas) {
+  jobs::ChunkRecord chunk;
+  for (std::uint32_t task = 0; task < 8; ++task) {
+    chunk.placements.push_back({task, 1, task < 4 ? "n-1" : "n-2"});
+  }
+  Snapshot from =
+      snapshot({job_entry("j-1", 8)}, {{jobs::chunk_key("j-1", 0), encode_chunk(chunk), 8}});
+  from.jobs[0].value["spec"]["loaner"] = false;
+  const auto rents = [](const Outbox& out) {
+    return out.commit &&
+           std::any_of(out.commit->transaction.writes.begin(), out.commit->transaction.writes.end(),
+                       [](const auto& write) { return write.key.starts_with("pool/"); });
+  };
+  Leader leader = lead(from);
+  for (double now = 0.1; now < 3; now += 0.5) EXPECT_FALSE(rents(leader.advance(now)));
+  std::vector<cloud::Listed> machines;
+  for (const char* name : {"n-1", "n-2"}) {
+    machines.push_back({name, "", "small", "a", false, cloud::MachinePhase::running, 500});
+  }
+  leader.on_list(machines, 3, 3.2);
+  EXPECT_FALSE(rents(leader.advance(5)));
+  state::Entry more = job_entry("j-2", 4);
+  leader.on_jobs({{more.key, more.value, 60}}, 6);
+  leader.on_jobs_current(6);
+  EXPECT_TRUE(rents(leader.advance(7)));
+}
+
 TEST_F(LeaderTest, AMachineIsGoneOnlyWhenAListCouldNotHaveMissedIt) {
   Leader leader = lead(snapshot({}));
   hear(leader, 1, 10);
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -151,6 +151,7 @@
   bool spot = false;
   HostPhase phase = HostPhase::booting;
   bool draining = false;
+  bool runs = false;     // the cloud lists it as running, whether or not we have heard from it
   double known_at = 0;   // when it was certainly rented
   double rented_at = 0;  // when its charge began, as well as we know
   double up_at = -1;
