--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -16,7 +16,7 @@
 
 constexpr int kBadSettings = 2;
 constexpr int kCannotServe = 1;
-constexpr std::size_t kStackBytes = 256 * 1024;
+[[maybe_unused]] constexpr std::size_t kStackBytes = 256 * 1024;
 
 void set_up_logs() {
   spdlog::set_default_logger(spdlog::stderr_logger_mt("reachramp"));
@@ -33,11 +33,13 @@
 void live_small() {
   mallopt(M_ARENA_MAX, 2);
   mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
+#ifndef __SANITIZE_THREAD__  // whose thread-local storage alone is larger: no thread could start
   pthread_attr_t attributes;
   pthread_attr_init(&attributes);
   pthread_attr_setstacksize(&attributes, kStackBytes);
   pthread_setattr_default_np(&attributes);
   pthread_attr_destroy(&attributes);
+#endif
 }
 
 }  // namespace
