--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -39,12 +39,8 @@
   return spot ? type.spot_price : type.price;
 }
 
-int slots_in(const Resources& room, const Resources& need) {
-  double slots = 1e6;
-  if (need.cpus > 0) slots = std::min(slots, (room.cpus + 1e-6) / need.cpus);
-  if (need.gpus > 0) slots = std::min(slots, (room.gpus + 1e-6) / need.gpus);
-  if (need.ram_gb > 0) slots = std::min(slots, (room.ram_gb + 1e-6) / need.ram_gb);
-  return std::max(0, static_cast<int>(slots));
+int copies_in(const cloud::MachineType& type, const Resources& need) {
+  return static_cast<int>(Resources{type.cpus, type.gpus, type.ram_gb}.copies(need));
 }
 
 Amounts amounts(const Resources& need, int slots) {
@@ -197,7 +193,7 @@
       for (const bool spot : {true, false}) {
         if (spot && !job.spec.spot) continue;
         const auto* kind = cluster_.kind(type);
-        use(Pool{type, zone, spot}, slots_in({kind->cpus, kind->gpus, kind->ram_gb}, job.need));
+        use(Pool{type, zone, spot}, copies_in(*kind, job.need));
       }
     }
   }
@@ -339,7 +335,7 @@
     for (Room& room : rooms) {
       const auto at = std::find(group.pools.begin(), group.pools.end(), room.pool);
       if (at == group.pools.end()) continue;
-      const int slots = slots_in(room.left, group.need);
+      const int slots = static_cast<int>(room.left.copies(group.need));
       if (slots == 0) continue;
       group.slots[at - group.pools.begin()] += slots;
       ++group.machines[at - group.pools.begin()];
@@ -358,8 +354,7 @@
     Holding holding;
     holding.held = amounts(group.need, group.slots[i]);
     holding.machines = group.machines[i];
-    holding.unit =
-        amounts(group.need, slots_in({type->cpus, type->gpus, type->ram_gb}, group.need));
+    holding.unit = amounts(group.need, copies_in(*type, group.need));
     holding.beta = reclaim_chance(pool);
     holding.price = price(cluster, pool);
     holding.obtainable = may_ask(pool, now) ? kMostPerHire : 0;
--- a/test/standins.cpp
+++ b/test/standins.cpp
@@ -159,13 +159,6 @@
   forever_.insert(job);
 }
 
-int CloudStandIn::rented() {
-  std::lock_guard lock(mutex_);
-  int count = 0;
-  for (const auto& [name, worker] : workers_) count += worker->gone ? 0 : 1;
-  return count;
-}
-
 wire::Reply CloudStandIn::serve(const wire::Request& request) {
   std::lock_guard lock(mutex_);
   if (request.path == "/catalog") {
--- a/test/standins.h
+++ b/test/standins.h
@@ -42,7 +42,6 @@
 
   // Tasks of this job end only when they are stopped.
   void run_forever(const std::string& job);
-  int rented();
   // Tasks that were started while another attempt at them ran.
   int ran_twice() const { return ran_twice_; }
 
