Read again: one walk over a job's pools, one count of record bytes, no dead state

The buyer walked the catalog for a job's pools in three places and worked price correlations out anew for every guess at how many machines can go back; they now belong to the group. What a placement takes in its record was written three times. preempt looked at every attempt at every plan, also when nobody claims room. Job::pending, Attempt::placed_at and Host::up_at were read by nobody; the end of a parked report's wait follows from its beginning. Three test fixtures made machines and gangs each in its own way.

--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -71,12 +71,26 @@
 
 double quickest_boot(const Cluster& cluster, const Job& job) {
   double boot_s = placement::kNever;
-  for (const auto& type : cluster.catalog) {
-    if (jobs::fits_type(job.spec, type)) boot_s = std::min(boot_s, type.boot_s);
+  for (Index type = 0; type < job.fits.size(); ++type) {
+    if (job.fits[type]) boot_s = std::min(boot_s, cluster.kind(type)->boot_s);
   }
   return boot_s;
 }
 
+// Every pool in the zone (kNone: in any) whose machines the job may run on.
+template <class Use>
+void each_pool(const Cluster& cluster, const Job& job, Index only, Use use) {
+  for (Index type = 0; type < job.fits.size(); ++type) {
+    if (!job.fits[type]) continue;
+    for (const std::string& name : cluster.kind(type)->zones) {
+      const Index zone = cluster.zones.find(name);
+      if (only != kNone && only != zone) continue;
+      if (job.spec.spot) use(Pool{type, zone, true});
+      use(Pool{type, zone, false});
+    }
+  }
+}
+
 // How many tasks of an array should run side by side: all of them where the time is short, fewer
 // where several rounds on the same machines still end in time.
 double side_by_side(const Job& job, double tasks, double boot_s, double now) {
@@ -186,18 +200,6 @@
   }
 
  private:
-  template <class Use>
-  void each_pool(const Job& job, Index zone, Use use) const {
-    for (Index type = 0; type < job.fits.size(); ++type) {
-      if (!job.fits[type]) continue;
-      for (const bool spot : {true, false}) {
-        if (spot && !job.spec.spot) continue;
-        const auto* kind = cluster_.kind(type);
-        use(Pool{type, zone, spot}, copies_in(*kind, job.need));
-      }
-    }
-  }
-
   // Where it could start at once, before where machines must come first.
   Index best_for(const Job& job) const {
     Index best = kNone;
@@ -217,11 +219,9 @@
   std::pair<int, bool> look_at(const Job& job, Index zone) const {
     int slots = 0;
     bool may_grow = false;
-    each_pool(job, zone, [&](const Pool& pool, int each) {
-      const auto& offered = cluster_.kind(pool.type)->zones;
-      if (std::find(offered.begin(), offered.end(), cluster_.zones[zone]) == offered.end()) return;
+    each_pool(cluster_, job, zone, [&](const Pool& pool) {
       const auto at = spare_.find(pool);
-      if (at != spare_.end()) slots += at->second * each;
+      if (at != spare_.end()) slots += at->second * copies(pool, job);
       may_grow = may_grow || buyer_.may_ask(pool, now_);
     });
     return {slots, may_grow};
@@ -229,15 +229,20 @@
 
   void claim(const Job& job, Index zone) {
     int left = static_cast<int>(job.spec.tasks);
-    each_pool(job, zone, [&](const Pool& pool, int each) {
+    each_pool(cluster_, job, zone, [&](const Pool& pool) {
       const auto at = spare_.find(pool);
       if (at == spare_.end() || left <= 0) return;
+      const int each = copies(pool, job);
       const int taken = std::min(at->second, (left + each - 1) / each);
       at->second -= taken;
       left -= taken * each;
     });
   }
 
+  int copies(const Pool& pool, const Job& job) const {
+    return copies_in(*cluster_.kind(pool.type), job.need);
+  }
+
   const Buyer& buyer_;
   const Cluster& cluster_;
   double now_;
@@ -262,19 +267,9 @@
     claimed[job.team].cpus += tasks * job.need.cpus;
     claimed[job.team].gpus += tasks * job.need.gpus;
     std::vector<Pool> pools;
-    const Index only = zones.choose(job);
-    for (const auto& type : cluster.catalog) {
-      if (!jobs::fits_type(job.spec, type)) continue;
-      for (const auto& zone : type.zones) {
-        const Index z = cluster.zones.find(zone);
-        if (only != kNone && only != z) continue;
-        const Index t = cluster.types.find(type.name);
-        for (const bool spot : {true, false}) {
-          if (spot && !job.spec.spot) continue;
-          if (!cluster.is_kept_from(job, t, spot)) pools.push_back({t, z, spot});
-        }
-      }
-    }
+    each_pool(cluster, job, zones.choose(job), [&](const Pool& pool) {
+      if (!cluster.is_kept_from(job, pool.type, pool.spot)) pools.push_back(pool);
+    });
     if (pools.empty()) continue;
     const double boot_s = quickest_boot(cluster, job);
     const double parallel = side_by_side(job, tasks, boot_s, now);
@@ -282,8 +277,9 @@
     group.pools = pools;
     group.need += job.need.times(parallel);
     group.tasks += parallel;
-    // A machine that cannot be up in time for a job that is late anyway is worth its full price
-    // only as far as the cheap ones would not get through the work within a horizon.
+    // An ordinary machine is worth its full price to work that it can still bring in time, unless
+    // that takes too much of the fleet, and to other work only as far as the cheap ones would take
+    // too long.
     const bool in_time =
         job.start_by.empty() ||
         (job.next_start_by(now + boot_s) != placement::kNever &&
@@ -298,6 +294,7 @@
   std::vector<Group> found;
   for (auto& [pools, group] : by_pools) {
     group.need = group.need.times(1 / group.tasks);
+    group.rho = correlations(pools);
     found.push_back(std::move(group));
   }
   // The most particular work claims its machines first.
@@ -389,7 +386,6 @@
     const Terms terms{policy_.target, policy_.gamma, policy_.horizon_s};
     const Amounts goal = group.goal();
     std::vector<Holding> pools = holdings(cluster, group, now);
-    const auto rho = correlations(group.pools);
     const bool spot = std::any_of(group.pools.begin(), group.pools.end(),
                                   [](const Pool& pool) { return pool.spot; });
     if (spot) {
@@ -397,7 +393,7 @@
       for (std::size_t i = 0; i < pools.size(); ++i) {
         if (!group.pools[i].spot || wanted.contains(group.pools[i])) spot_only[i].obtainable = 0;
       }
-      for (const Purchase& purchase : greedy(spot_only, rho, goal, terms)) {
+      for (const Purchase& purchase : greedy(spot_only, group.rho, goal, terms)) {
         wanted[group.pools[purchase.pool]] += purchase.machines;
       }
       pools = spot_only;
@@ -417,7 +413,7 @@
     Amounts served_goal = goal;
     for (double& amount : served_goal) amount *= share;
     const Terms served{policy_.target, 0, policy_.horizon_s};
-    for (const Purchase& purchase : greedy(pools, rho, served_goal, served)) {
+    for (const Purchase& purchase : greedy(pools, group.rho, served_goal, served)) {
       wanted[group.pools[purchase.pool]] += purchase.machines;
     }
   }
@@ -432,8 +428,8 @@
                                   const std::vector<Group>& groups) const {
   std::vector<double> least;
   for (const Group& group : groups) {
-    const Amounts values = utilities(holdings(cluster, group, now), correlations(group.pools),
-                                     policy_.gamma, group.goal());
+    const Amounts values =
+        utilities(holdings(cluster, group, now), group.rho, policy_.gamma, group.goal());
     least.push_back(*std::min_element(values.begin(), values.end()));
   }
   return least;
--- a/src/acquire/buyer.h
+++ b/src/acquire/buyer.h
@@ -23,7 +23,8 @@
 // Work that may use the same pools and needs machines of the same make.
 struct Group {
   std::vector<Pool> pools;
-  placement::Resources need;  // of a mean task
+  std::vector<std::vector<double>> rho;  // how the pools' prices move together
+  placement::Resources need;             // of a mean task
   double tasks = 0;           // that should run at the same time for their jobs to be in time
   double ordinary_tasks = 0;  // of these, what ordinary machines may be rented for
   Amounts goal() const;
--- a/src/acquire/buyer_test.cpp
+++ b/src/acquire/buyer_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "machines.h"
+
 namespace reachramp::acquire {
 namespace {
 
@@ -14,21 +16,11 @@
   }
 
   Index machine(const std::string& zone, bool spot) {
-    const Index index = cluster_.add_host("n-" + std::to_string(cluster_.hosts.size()), 0);
-    cluster_.describe_host(index, "large", zone, spot);
-    cluster_.hosts[index]->phase = placement::HostPhase::up;
-    return index;
+    return test::add_machine(cluster_, "large", zone, spot);
   }
 
   void gang(std::uint32_t tasks) {
-    jobs::Header made;
-    made.spec.id = "j-" + std::to_string(cluster_.jobs.size());
-    made.spec.team = "red";
-    made.spec.shape = jobs::Shape::gang;
-    made.spec.one_zone = true;
-    made.spec.tasks = tasks;
-    made.spec.cpus = 30;
-    made.spec.image = "img";
+    jobs::Header made = test::make_gang(cluster_, "red", tasks);
     made.spec.estimate_s = 100;
     cluster_.add_job(made, cluster_.jobs.size() + 1, 0);
   }
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -16,7 +16,6 @@
 
 constexpr int kBadSettings = 2;
 constexpr int kCannotServe = 1;
-[[maybe_unused]] constexpr std::size_t kStackBytes = 256 * 1024;
 
 void set_up_logs() {
   spdlog::set_default_logger(spdlog::stderr_logger_mt("reachramp"));
@@ -34,6 +33,7 @@
   mallopt(M_ARENA_MAX, 2);
   mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
 #ifndef __SANITIZE_THREAD__  // whose thread-local storage alone is larger: no thread could start
+  constexpr std::size_t kStackBytes = 256 * 1024;
   pthread_attr_t attributes;
   pthread_attr_init(&attributes);
   pthread_attr_setstacksize(&attributes, kStackBytes);
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr const char* kCatalogKey = "catalog";
 // A report's answer waits this long for the starts that it should carry to become durable.
 constexpr double kParkFor = 1.0;
 constexpr double kPlanEvery = 0.5;
@@ -112,7 +111,7 @@
   for (Parked& parked : parked_) {
     const Host* host = cluster_.host(parked.host);
     const bool planned = parked.since <= planned_at_;
-    if (host != nullptr && now < parked.until && (!planned || waits_for_commit(*host))) {
+    if (host != nullptr && now < parked.since + kParkFor && (!planned || waits_for_commit(*host))) {
       still.push_back(std::move(parked));
     } else {
       answer(parked.host, parked.answer, now);
@@ -133,7 +132,7 @@
     return true;
   }
   replan_ = true;
-  parked_.push_back({report.host, std::move(answer), now, now + kParkFor});
+  parked_.push_back({report.host, std::move(answer), now});
   return true;
 }
 
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -68,7 +68,6 @@
     std::string host;
     Answerer answer;
     double since = 0;
-    double until = 0;
   };
 
   void upkeep(double now);
--- a/src/controller/ledger.h
+++ b/src/controller/ledger.h
@@ -15,6 +15,7 @@
 using placement::Index;
 
 inline constexpr const char* kLeaderKey = "leader";
+inline constexpr const char* kCatalogKey = "catalog";
 
 // A record beside jobs and tasks: what a pool was last asked for, the machine types.
 struct Note {
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -15,7 +15,6 @@
 using state::steady_now;
 using namespace std::chrono_literals;
 
-constexpr const char* kCatalogKey = "catalog";
 constexpr auto kReportLimit = 3s;
 // Less than the 4 s that a worker waits.
 constexpr double kCarryFor_s = 2.5;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -50,12 +50,6 @@
 
 Resources Resources::times(double f) const { return {cpus * f, gpus * f, ram_gb * f}; }
 
-std::size_t Job::open_attempts() const {
-  std::size_t open = 0;
-  for (const auto& [task, attempt] : attempts) open += done[task] ? 0 : 1;
-  return open;
-}
-
 Cluster::Cluster(const settings::Platform& p, std::uint64_t b)
     : platform(p), baton(b), used(p.teams.size()) {}
 
@@ -215,44 +209,42 @@
   Attempt attempt;
   attempt.number = number;
   attempt.host = host;
-  attempt.placed_at = now;
   job.attempts[task] = attempt;
   if (job.spec.shape == jobs::Shape::gang) job.last_attempt = std::max(job.last_attempt, number);
-  const std::size_t chunk = task / job.chunk_tasks;
+  const std::size_t chunk = job.chunk_of(task);
   ++job.chunks[chunk].waiting;
-  job.chunks[chunk].bytes +=
-      jobs::placement_bytes(task, number) + (shares_machine(job, index, chunk, *hosts[host])
-                                                 ? 0
-                                                 : jobs::machine_bytes(hosts[host]->name));
+  job.chunks[chunk].bytes += bytes_for(index, task, number, *hosts[host]);
   hosts[host]->attempts.insert({index, task});
   hosts[host]->free -= job.need;
   charge(job, 1);
   touch(index, task, now);
 }
 
-bool Cluster::shares_machine(const Job& job, Index index, std::size_t chunk,
-                             const Host& host) const {
-  const auto first = static_cast<std::uint32_t>(chunk * job.chunk_tasks);
-  const auto at = host.attempts.lower_bound({index, first});
-  return at != host.attempts.end() && at->job == index && at->task < first + job.chunk_tasks;
+std::size_t Cluster::bytes_for(Index index, std::uint32_t task, std::uint64_t attempt,
+                               const Host& host) const {
+  const Job& job = *jobs[index];
+  const auto first = static_cast<std::uint32_t>(job.chunk_of(task) * job.chunk_tasks);
+  const auto other = host.attempts.lower_bound({index, first});
+  const bool named =
+      other != host.attempts.end() && other->job == index && other->task < first + job.chunk_tasks;
+  return jobs::placement_bytes(task, attempt) + (named ? 0 : jobs::machine_bytes(host.name));
 }
 
-bool Cluster::has_room(Index index, std::uint32_t task, std::uint64_t attempt, Index host) const {
-  const Job& job = *jobs[index];
-  const std::size_t chunk = task / job.chunk_tasks;
-  const std::size_t more =
-      jobs::placement_bytes(task, attempt) + (shares_machine(job, index, chunk, *hosts[host])
-                                                  ? 0
-                                                  : jobs::machine_bytes(hosts[host]->name));
+bool Cluster::fits_value(const Job& job, std::size_t chunk, std::size_t more) const {
   return static_cast<double>(jobs::empty_chunk_bytes(job.chunk_tasks) + job.chunks[chunk].bytes +
                              more) <= value_bytes();
 }
 
+bool Cluster::has_room(Index index, std::uint32_t task, std::uint64_t attempt, Index host) const {
+  const Job& job = *jobs[index];
+  return fits_value(job, job.chunk_of(task), bytes_for(index, task, attempt, *hosts[host]));
+}
+
 void Cluster::make_durable(Job& job, std::uint32_t task) {
   Attempt& attempt = job.attempts.at(task);
   if (attempt.durable) return;
   attempt.durable = true;
-  --job.chunks[task / job.chunk_tasks].waiting;
+  --job.chunks[job.chunk_of(task)].waiting;
 }
 
 void Cluster::inherit(Index index, const jobs::ChunkRecord& record, std::size_t chunk,
@@ -287,10 +279,7 @@
   if (host.attempts.empty()) host.idle_since = now;
   charge(job, -1);
   make_durable(job, task);
-  const std::size_t chunk = task / job.chunk_tasks;
-  job.chunks[chunk].bytes -=
-      jobs::placement_bytes(task, at->second.number) +
-      (shares_machine(job, index, chunk, host) ? 0 : jobs::machine_bytes(host.name));
+  job.chunks[job.chunk_of(task)].bytes -= bytes_for(index, task, at->second.number, host);
   if (!job.done[task]) job.last_attempt = std::max(job.last_attempt, at->second.number);
   job.attempts.erase(at);
   job.hint = std::min(job.hint, task);
@@ -359,7 +348,7 @@
 }
 
 void Cluster::touch(Index index, std::uint32_t task, double now) {
-  const std::size_t number = task / jobs[index]->chunk_tasks;
+  const std::size_t number = jobs[index]->chunk_of(task);
   Chunk& chunk = jobs[index]->chunks[number];
   if (chunk.changed++ == chunk.stored) chunk.dirty_since = now;
   dirty.insert({index, number});
@@ -375,7 +364,7 @@
 }
 
 bool Cluster::chunk_is_stored(const Job& job, std::uint32_t task) const {
-  const Chunk& chunk = job.chunks[task / job.chunk_tasks];
+  const Chunk& chunk = job.chunks[job.chunk_of(task)];
   return chunk.changed == chunk.stored;
 }
 
@@ -390,8 +379,7 @@
   }
   // Whatever was placed had room; a task found running that nobody had placed may have none, and
   // shows again in its worker's next report.
-  const bool full = static_cast<double>(jobs::empty_chunk_bytes(job.chunk_tasks) +
-                                        job.chunks[chunk].bytes) > value_bytes();
+  const bool full = !fits_value(job, chunk, 0);
   for (auto at = job.attempts.lower_bound(record.first);
        at != job.attempts.end() && at->first < end; ++at) {
     if (full && at->second.adopted) continue;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -65,7 +65,6 @@
   std::uint64_t sent_tick = 0;  // the report whose answer carried the start
   bool stopping = false;
   double wind_down_s = 0;
-  double placed_at = 0;
   double running_since = -1;
 };
 
@@ -114,10 +113,7 @@
   std::uint32_t failures = 0;
   double not_before = 0;
 
-  std::uint32_t pending() const {
-    return spec.tasks - done_count - static_cast<std::uint32_t>(open_attempts());
-  }
-  std::size_t open_attempts() const;
+  std::size_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
   // The earliest of `start_by` that a machine ready at `time` can still meet; kNever: none.
   double next_start_by(double time) const;
   bool complete() const { return done_count == spec.tasks; }
@@ -154,7 +150,6 @@
   bool runs = false;     // the cloud lists it as running, whether or not we have heard from it
   double known_at = 0;   // when it was certainly rented
   double rented_at = 0;  // when its charge began, as well as we know
-  double up_at = -1;
   double heard_at = -1;  // the last report
   std::uint64_t tenure = 0;
   std::uint64_t tick = 0;
@@ -263,8 +258,10 @@
   // One task takes more than half of the machine.
   bool fills(const Job& job, Index type) const;
 
-  // Of the machine's attempts, whether one is in the same chunk.
-  bool shares_machine(const Job& job, Index index, std::size_t chunk, const Host& host) const;
+  // What a placement on the machine adds to its chunk's record beside the machine's other attempts.
+  std::size_t bytes_for(Index job, std::uint32_t task, std::uint64_t attempt,
+                        const Host& host) const;
+  bool fits_value(const Job& job, std::size_t chunk, std::size_t more) const;
   double value_bytes() const { return platform.state_limits.value_kb * 1024 - kValueMargin; }
 
   static constexpr double kValueMargin = 200;
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "machines.h"
 #include "placement/order.h"
 
 namespace reachramp::placement {
@@ -15,11 +16,7 @@
   }
 
   Index machine(const std::string& type, const std::string& zone, bool spot = true) {
-    const Index index = cluster_.add_host("n-" + std::to_string(cluster_.hosts.size()), 0);
-    cluster_.describe_host(index, type, zone, spot);
-    cluster_.hosts[index]->phase = HostPhase::up;
-    cluster_.hosts[index]->heard_at = 0;
-    return index;
+    return test::add_machine(cluster_, type, zone, spot);
   }
 
   jobs::Header header(std::uint32_t tasks, double cpus) {
@@ -112,10 +109,8 @@
   Cluster cluster(tight, 1);
   cluster.set_catalog({{"tiny", 1, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
   for (int i = 0; i < 100; ++i) {
-    const Index index = cluster.add_host("a-machine-with-a-long-name-" + std::to_string(i), 0);
-    cluster.describe_host(index, "tiny", "a", true);
-    cluster.hosts[index]->phase = HostPhase::up;
-    cluster.hosts[index]->heard_at = 0;
+    test::add_machine(cluster, "tiny", "a", true, 0,
+                      "a-machine-with-a-long-name-" + std::to_string(i));
   }
   jobs::Header array = header(100, 1);
   array.spec.team = "free";
--- a/src/placement/preempt.cpp
+++ b/src/placement/preempt.cpp
@@ -50,11 +50,9 @@
   return room.copies(job.need);
 }
 
-// Room in each zone that a waiting gang may use; taken off as gangs are seen to.
-using Room = std::map<Index, std::uint32_t>;
-
-Room room_for(const Cluster& cluster, const Job& job, double now) {
-  Room room;
+// Room in each zone for tasks of the job.
+std::map<Index, std::uint32_t> room_for(const Cluster& cluster, const Job& job, double now) {
+  std::map<Index, std::uint32_t> room;
   for (const auto& host : cluster.hosts) {
     if (host && usable(cluster, *host, now) && allows(cluster, job, *host)) {
       room[host->zone] += copies_after_stops(cluster, *host, job);
@@ -114,32 +112,45 @@
   return {};
 }
 
-}  // namespace
+// A gang that has waited and could start as soon as it had room in one zone.
+bool may_claim(const Cluster& cluster, const Job& job, double now) {
+  return job.spec.shape == jobs::Shape::gang && job.attempts.empty() && now >= job.not_before &&
+         now - job.seen_at >= kWaitFirst_s && cluster.within_limit(job, job.spec.tasks) &&
+         (job.spec.tasks == 1 || job.spec.one_zone);
+}
 
-void preempt(Cluster& cluster, const Service& service, double now) {
-  std::map<Index, std::uint32_t> promised;  // by zone, to claimants before
-  std::vector<double> yielded(cluster.used.size());
+// Cores, by team, of what is being stopped.
+std::vector<double> stopping_cores(const Cluster& cluster) {
+  std::vector<double> cores(cluster.used.size());
   for (const auto& job : cluster.jobs) {
     if (!job || job->team == kNone) continue;
     for (const auto& [task, attempt] : job->attempts) {
-      if (attempt.stopping) yielded[job->team] += job->need.cpus;
+      if (attempt.stopping) cores[job->team] += job->need.cpus;
     }
   }
+  return cores;
+}
+
+}  // namespace
+
+void preempt(Cluster& cluster, const Service& service, double now) {
+  std::vector<Index> claimants;
   for (const Index index : service.order) {
+    if (may_claim(cluster, *cluster.jobs[index], now)) claimants.push_back(index);
+  }
+  if (claimants.empty()) return;            // as in most plans
+  std::map<Index, std::uint32_t> promised;  // by zone, to claimants before
+  std::vector<double> yielded = stopping_cores(cluster);
+  for (const Index index : claimants) {
     const Job& job = *cluster.jobs[index];
     const bool claims_guarantee =
         service.guaranteed[index] && cluster.used[job.team].cpus + job.need.cpus * job.spec.tasks <=
                                          cluster.platform.teams[job.team].cpus + 1e-6;
-    if (job.spec.shape != jobs::Shape::gang || !job.attempts.empty() || now < job.not_before ||
-        now - job.seen_at < kWaitFirst_s || !cluster.within_limit(job, job.spec.tasks) ||
-        (job.spec.tasks > 1 && !job.spec.one_zone)) {
-      continue;
+    std::vector<std::pair<std::uint32_t, Index>> zones;
+    for (const auto& [zone, copies] : room_for(cluster, job, now)) {
+      zones.emplace_back(copies - std::min(copies, promised[zone]), zone);
     }
-    Room room = room_for(cluster, job, now);
-    for (auto& [zone, copies] : room) copies -= std::min(copies, promised[zone]);
-    std::vector<std::pair<std::uint32_t, Index>> zones;  // the fullest claims first
-    for (const auto& [zone, copies] : room) zones.emplace_back(copies, zone);
-    std::sort(zones.rbegin(), zones.rend());
+    std::sort(zones.rbegin(), zones.rend());  // where the least is missing first
     for (const auto& [copies, zone] : zones) {
       std::vector<Index> victims;
       if (copies < job.spec.tasks) {
--- a/src/placement/preempt_test.cpp
+++ b/src/placement/preempt_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "machines.h"
 #include "placement/plan.h"
 
 namespace reachramp::placement {
@@ -12,23 +13,11 @@
  protected:
   Preempt() : cluster_(platform_, 1) {
     cluster_.set_catalog({{"large", 32, 0, 128, 50, 1, 3.2, 0.8, 5, {"a"}}});
-    for (int i = 0; i < 2; ++i) {
-      const Index index = cluster_.add_host("n-" + std::to_string(i), 0);
-      cluster_.describe_host(index, "large", "a", false);
-      cluster_.hosts[index]->phase = HostPhase::up;
-      cluster_.hosts[index]->heard_at = 100;
-    }
+    for (int i = 0; i < 2; ++i) test::add_machine(cluster_, "large", "a", false, 100);
   }
 
   Index gang(const char* team, std::uint32_t tasks, double now) {
-    jobs::Header made;
-    made.spec.id = "j-" + std::to_string(cluster_.jobs.size());
-    made.spec.team = team;
-    made.spec.shape = jobs::Shape::gang;
-    made.spec.one_zone = true;
-    made.spec.tasks = tasks;
-    made.spec.cpus = 30;
-    made.spec.image = "img";
+    jobs::Header made = test::make_gang(cluster_, team, tasks);
     made.spec.checkpoint_s = 15;
     made.spec.save_s = 4;
     return cluster_.add_job(made, cluster_.jobs.size() + 1, now);
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -256,7 +256,6 @@
   if (report.baton == cluster.baton) host.ours = true;
   if (host.phase == HostPhase::booting) {
     host.phase = HostPhase::up;
-    host.up_at = now;
     host.idle_since = now;
     spdlog::info("machine {} is up after {:.1f} s", host.name, now - host.rented_at);
   }
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -62,7 +62,8 @@
               "[facts.workers]\nreport_s = 0.2\nlease_s = 5.0\ngang_wait_s = 10.0\n"
               "gang_peer_s = 2.0\ncancel_s = 10.0\n"
               "[facts.state]\nrps = 500.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 8\n"
-              "[facts.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[facts.limits]\nram_mb = 256.0\nfd_limit = 300\n";
+              "[facts.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[facts.limits]\nram_mb = "
+              "256.0\nfd_limit = 300\n";
     }
     for (int i = 0; i < kNodes; ++i) start(i);
   }
--- /dev/null
+++ b/test/machines.h
@@ -0,0 +1,37 @@
+// Machines and gangs for tests of decisions.
+#pragma once
+
+#include <string>
+
+#include "placement/cluster.h"
+
+namespace reachramp::test {
+
+// One that is up and was last heard at `heard_at`; named by its number unless `name` says
+// otherwise.
+inline placement::Index add_machine(placement::Cluster& cluster, const std::string& type,
+                                    const std::string& zone, bool spot, double heard_at = 0,
+                                    std::string name = "") {
+  if (name.empty()) name = "n-" + std::to_string(cluster.hosts.size());
+  const placement::Index index = cluster.add_host(name, 0);
+  cluster.describe_host(index, type, zone, spot);
+  cluster.hosts[index]->phase = placement::HostPhase::up;
+  cluster.hosts[index]->heard_at = heard_at;
+  return index;
+}
+
+// A gang that must share a zone, named by its number among the cluster's jobs.
+inline jobs::Header make_gang(const placement::Cluster& cluster, const std::string& team,
+                              std::uint32_t tasks) {
+  jobs::Header made;
+  made.spec.id = "j-" + std::to_string(cluster.jobs.size());
+  made.spec.team = team;
+  made.spec.shape = jobs::Shape::gang;
+  made.spec.one_zone = true;
+  made.spec.tasks = tasks;
+  made.spec.cpus = 30;
+  made.spec.image = "img";
+  return made;
+}
+
+}  // namespace reachramp::test
