Tasks that take no cores fit machines without free ones again

The list of machines that a plan begins with left out those without a free core, to save work; a task of memory or GPUs alone was passed over with them. What a task needs is asked for each job anyway.

--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr double kLeastNotice = 1.5;
-constexpr double kSlack = 1e-6;
 
 // Tasks of the job by zone, ended attempts excepted. Nothing if one of them is in a zone that is
 // not known.
@@ -32,15 +31,15 @@
   return at != job.failed_on.end() && now < at->second;
 }
 
-// Machines with room, in the order in which tasks try them: spot before ordinary for work that may
-// use either, small before large so that large ones stay whole. Worked out once a plan: at hundreds
-// of machines and dozens of jobs, doing so for every job took most of a leader's processor time.
+// Machines that take tasks, in the order in which tasks try them: spot before ordinary for work
+// that may use either, small before large so that large ones stay whole. Worked out once a plan: at
+// hundreds of machines and dozens of jobs, doing so for every job took most of a leader's processor
+// time.
 std::vector<Index> open_machines(const Cluster& cluster, double now) {
   std::vector<Index> found;
   for (Index i = 0; i < cluster.hosts.size(); ++i) {
     const auto& host = cluster.hosts[i];
-    if (host && usable(cluster, *host, now) && host->free.cpus > kSlack &&
-        cluster.type_of(*host) != nullptr) {
+    if (host && usable(cluster, *host, now) && cluster.type_of(*host) != nullptr) {
       found.push_back(i);
     }
   }
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -132,6 +132,18 @@
   EXPECT_GT(rounds, 1u) << "not all at once";
 }
 
+// Machines without a free core were passed over, also by tasks that take none.
+TEST_F(Plan, ATaskWithoutCoresFitsAMachineWithoutFreeOnes) {
+  machine("small", "a");
+  jobs::Header cores = header(1, 4);
+  cluster_.add_job(cores, 1, 0);
+  ASSERT_EQ(plan(cluster_, 1), 1);
+  jobs::Header none = header(1, 0);
+  none.spec.ram_gb = 1;
+  cluster_.add_job(none, 2, 1);
+  EXPECT_EQ(plan(cluster_, 2), 1);
+}
+
 TEST_F(Plan, NoTaskGetsTheSameAttemptTwice) {
   machine("small", "a");
   const Index job = cluster_.add_job(header(2, 1), 1, 0);
