Benchmarks of plan, purchase, report and takeover against machines and jobs

Need: the fleet grows several times over; what a leader's decisions cost at that size was not measured.

--- /dev/null
+++ b/bench/scale_bench.cpp
@@ -0,0 +1,175 @@
+// What the leader's decisions cost against the number of machines and of waiting jobs. Whole
+// commands are timed, in one thread, without sockets; run it on a quiet machine and compare ratios.
+#include <benchmark/benchmark.h>
+#include <spdlog/spdlog.h>
+
+#include "acquire/buyer.h"
+#include "fleet.h"
+#include "placement/plan.h"
+
+namespace reachramp::bench {
+namespace {
+
+constexpr std::int64_t kWaiting = 100;
+constexpr double kWaited_s = 10;  // long enough for gangs to ask others to make room
+
+Size size_of(const benchmark::State& state) {
+  return {static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1))};
+}
+
+// All machines are busy and many jobs wait: what a burst looks like, ten times a second.
+void plan_full(benchmark::State& state) {
+  const settings::Platform p = platform();
+  placement::Cluster cluster(p, 1, jobs::Format::compact);
+  fill(cluster, size_of(state), 0);
+  for (auto _ : state) benchmark::DoNotOptimize(placement::plan(cluster, kWaited_s));
+  state.SetComplexityN(state.range(0));
+}
+
+// A hundredth of the machines has come free, and is filled.
+void plan_freed(benchmark::State& state) {
+  const settings::Platform p = platform();
+  for (auto _ : state) {
+    state.PauseTiming();
+    placement::Cluster cluster(p, 1, jobs::Format::compact);
+    fill(cluster, size_of(state), 0);
+    for (std::size_t i = 1; i < cluster.hosts.size(); i += 100) {
+      const auto attempts = cluster.hosts[i]->attempts;
+      for (const auto& ref : attempts) cluster.mark_done(ref.job, ref.task, 0);
+      for (const auto& ref : attempts) cluster.end_attempt(ref.job, ref.task, 0);
+    }
+    state.ResumeTiming();
+    benchmark::DoNotOptimize(placement::plan(cluster, kWaited_s));
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+void buy(benchmark::State& state) {
+  const settings::Platform p = platform();
+  placement::Cluster cluster(p, 1, jobs::Format::compact);
+  Size size = size_of(state);
+  size.filled = 0.9;  // some are idle and may go back
+  fill(cluster, size, 0);
+  acquire::Buyer buyer{settings::Policy{}};
+  buyer.note_prices(cluster, 0);
+  for (auto _ : state) {
+    buyer.note_exposure(cluster, 100);
+    benchmark::DoNotOptimize(buyer.surplus(cluster, 100));
+    benchmark::DoNotOptimize(buyer.wishes(cluster, 100));
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+// A leader that has heard all of its machines.
+struct Led {
+  explicit Led(const Size& size)
+      : world(size), leader(platform(), {}, World::kBaton, world.snapshot, now) {
+    leader.on_list(world.listed, now, now);
+    for (std::size_t i = 0; i < world.reports.size(); ++i) hear(i);
+    leader.advance(now);
+  }
+  void hear(std::size_t machine) {
+    workers::Report& report = world.reports[machine];
+    ++report.tick;
+    leader.on_report(
+        report, [](const wire::Json&) {}, now);
+  }
+
+  double now = 0;
+  std::uint64_t epoch = World::kBaton;
+  World world;
+  controller::Leader leader;
+};
+
+// One second of reports, at the rate of the platform. The owner passes through its round after
+// each, as it does while it keeps up.
+void second(benchmark::State& state) {
+  Led led(size_of(state));
+  const std::size_t machines = led.world.reports.size();
+  const double each_s = platform().workers.report_s / static_cast<double>(machines);
+  std::size_t next = 0;
+  for (auto _ : state) {
+    for (const double end = led.now + 1; led.now < end;) {
+      led.now += each_s;
+      led.leader.on_jobs_current(led.now);
+      led.hear(next++ % machines);
+      const auto out = led.leader.advance(led.now);
+      if (!out.commit) continue;
+      state::Committed stored;
+      stored.outcome = state::Outcome::ok;
+      stored.epoch = ++led.epoch;
+      led.leader.on_settled(stored, led.now);
+    }
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+void report(benchmark::State& state) {
+  Led led(size_of(state));
+  std::size_t next = 0;
+  for (auto _ : state) {
+    led.hear(next++ % led.world.reports.size());
+    state.PauseTiming();
+    if (next % 64 == 0) led.leader.advance(led.now += 1);  // answers what is parked
+    state.ResumeTiming();
+  }
+  state.SetComplexityN(state.range(0));
+}
+
+// From the records as read to every machine listed and heard under the new baton.
+void takeover(benchmark::State& state) {
+  Size size = size_of(state);
+  size.array_tasks = static_cast<std::size_t>(state.range(2));
+  World world(size);
+  for (auto _ : state) {
+    controller::Leader leader(platform(), {}, World::kBaton, world.snapshot, 0);
+    leader.on_list(world.listed, 0, 0);
+    for (workers::Report& one : world.reports) {
+      ++one.tick;
+      leader.on_report(
+          one, [](const wire::Json&) {}, 1);
+    }
+    benchmark::DoNotOptimize(leader.advance(1));
+  }
+  state.counters["jobs"] = static_cast<double>(world.snapshot.jobs.size());
+  state.SetComplexityN(state.range(0));
+}
+
+void sizes(benchmark::internal::Benchmark* bench) {
+  for (const std::int64_t machines : {300, 600, 1300, 2500, 5000})
+    bench->Args({machines, kWaiting});
+  bench->Unit(benchmark::kMillisecond)->Complexity();
+}
+
+void waiting(benchmark::internal::Benchmark* bench) {
+  for (const std::int64_t jobs : {10, 100, 1000, 5000}) bench->Args({1300, jobs});
+  bench->Unit(benchmark::kMillisecond);
+}
+
+BENCHMARK(plan_full)->Apply(sizes);
+BENCHMARK(plan_full)->Apply(waiting);
+BENCHMARK(plan_freed)->Apply(sizes);
+BENCHMARK(buy)->Apply(sizes);
+BENCHMARK(buy)->Apply(waiting);
+BENCHMARK(second)->Apply(sizes);
+BENCHMARK(second)->Apply(waiting);
+BENCHMARK(report)->Apply(sizes);
+BENCHMARK(takeover)
+    ->Args({300, 50, 200})
+    ->Args({600, 50, 200})
+    ->Args({1300, 50, 200})
+    ->Args({2500, 50, 200})
+    ->Args({5000, 50, 200})
+    ->Args({1300, 5000, 40})
+    ->Args({2500, 5000, 40})
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace reachramp::bench
+
+int main(int argc, char** argv) {
+  spdlog::set_level(spdlog::level::off);
+  benchmark::Initialize(&argc, argv);
+  if (benchmark::ReportUnrecognizedArguments(argc, argv)) return 1;
+  benchmark::RunSpecifiedBenchmarks();
+}
