One budget of connections for both doors, after threads, descriptors and memory

Cause: the users' and the peers' door were limited each by itself, by descriptors and memory only: with 188 MB and 3,799 descriptors they allowed 3,204 connections, a thread each, where a process may have 2,000 threads, and with 700 descriptors 735 connections. A relay without a descriptor took the leader for cut off. Change: wire::Budget, shared by the doors. Users, workers and peers are each due a quarter; past the budget the longest silent connection of those that may go is closed first, else the newcomer is closed at once; a party beyond its due is answered 503 while it would leave the others without theirs. Carried reports are bounded by descriptors.

--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -26,15 +26,13 @@
 constexpr auto kGreetingLimit = 1000ms;
 constexpr int kGreeters = 3;
 
+constexpr const char* kReportPath = "/v1/report";
+
 wire::Reply no_path() { return {404, {{"error", "no such path"}}}; }
 wire::Reply no_method() { return {405, {{"error", "no such method here"}}}; }
 
-// Every worker may come to one node, beside users. The descriptors that are left are for
-// connections to others; a connection's thread and buffers were measured to take 43 KB.
-std::size_t most_connections(const settings::Platform& platform) {
-  constexpr double kConnectionMb = 0.044;
-  const double most = std::min(platform.fd_limit * 0.7, platform.ram_mb * 0.5 / kConnectionMb);
-  return static_cast<std::size_t>(std::max(most, 16.0));
+wire::Party sender(const wire::Request& request) {
+  return request.path == kReportPath ? wire::Party::worker : wire::Party::user;
 }
 
 }  // namespace
@@ -60,9 +58,13 @@
   threads.emplace_back([this] { watch_jobs(); });
   threads.emplace_back([this] { deal_with_cloud(); });
   for (int i = 0; i < kGreeters; ++i) threads.emplace_back([this] { greet(); });
-  wire::Server peers(platform_.cluster_listen, most_connections(platform_) / 2,
-                     [this](const wire::Request& request) { return serve_peer(request); });
-  wire::Server server(platform_.serve_on, most_connections(platform_),
+  wire::Budget budget(
+      wire::connections_for({platform_.fd_limit, platform_.ram_mb, platform_.thread_limit}));
+  wire::Server peers(
+      platform_.cluster_listen, budget, wire::Party::peer,
+      [](const wire::Request&) { return wire::Party::peer; },
+      [this](const wire::Request& request) { return serve_peer(request); });
+  wire::Server server(platform_.serve_on, budget, wire::Party::fresh, sender,
                       [this](const wire::Request& request) { return serve(request); });
   spdlog::info("{} serves on {}:{}", platform_.node_name, platform_.serve_on.host,
                platform_.serve_on.port);
@@ -82,8 +84,9 @@
     const bool ready = health_.ready();
     return {ready ? 200 : 503, {{"ready", ready}}};
   }
-  if (request.path == "/v1/report")
+  if (request.path == kReportPath) {
     return post ? report(request.body, Origin::worker) : no_method();
+  }
   if (request.path == jobs) return post ? door_.submit(request.body) : no_method();
   if (request.path.starts_with(jobs + "/")) {
     std::string id = request.path.substr(jobs.size() + 1);
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -2,6 +2,7 @@
 // leader, its death would silence the whole fleet at once.
 #pragma once
 
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -26,10 +27,14 @@
                                    double now);
 
  private:
+  class Slot;
+
   bool cut_off(const std::string& leader, double now);
 
   std::map<std::string, std::unique_ptr<wire::Client>> clients_;
   std::mutex mutex_;
+  std::condition_variable freed_;
+  int free_;  // reports that may still be carried at the same time
   std::map<std::string, double> cut_off_until_;
 };
 
--- a/src/settings/platform.cpp
+++ b/src/settings/platform.cpp
@@ -164,8 +164,11 @@
                                           : platform.state_limits;
   const Table cloud = facts.table("cloud");
   platform.cloud_limits = {cloud.amount("rps", 0.1), cloud.amount("list_lag_s", 0)};
-  platform.fd_limit = static_cast<int>(facts.table("limits").amount("fd_limit", 32));
-  platform.ram_mb = facts.table("limits").amount("ram_mb", 8);
+  const Table limits = facts.table("limits");
+  platform.fd_limit = static_cast<int>(limits.amount("fd_limit", 32));
+  platform.ram_mb = limits.amount("ram_mb", 8);
+  platform.thread_limit =
+      static_cast<int>(limits.amount_or("thread_limit", 128, platform.thread_limit));
   return platform;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -78,6 +78,7 @@
   StateLimits lasting() const { return settings::lasting(state_limits, state_next); }
   CloudLimits cloud_limits;
   int fd_limit = 512;
+  int thread_limit = 2000;  // of a process; the users' page on the large fleet
   double ram_mb = 64;
 };
 
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -18,12 +18,6 @@
 constexpr std::uint32_t kHeaderLimit = 8 * 1024;
 using Buffer = boost::beast::flat_static_buffer<4096>;
 
-std::int64_t now_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 template <bool IsRequest, class Body, class Fields>
 std::string to_bytes(const http::message<IsRequest, Body, Fields>& message) {
   std::ostringstream out;
@@ -45,8 +39,12 @@
 
 }  // namespace
 
-Server::Server(const Address& on, std::size_t most, Handler handler)
-    : handler_(std::move(handler)), most_(most), listener_(Socket::listen(on)) {
+Server::Server(const Address& on, Budget& budget, Party newcomers, Sender sender, Handler handler)
+    : budget_(budget),
+      newcomers_(newcomers),
+      sender_(std::move(sender)),
+      handler_(std::move(handler)),
+      listener_(Socket::listen(on)) {
   acceptor_ = std::thread([this] { accept_loop(); });
 }
 
@@ -54,63 +52,53 @@
   stopping_ = true;
   listener_.shut();
   acceptor_.join();
-  {
-    std::lock_guard lock(mutex_);
-    for (auto& connection : open_) connection->socket.shut();
-  }
+  budget_.close_all(this);
   while (serving_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
 
 void Server::accept_loop() {
   while (!stopping_) {
-    auto connection = std::make_shared<Connection>();
+    auto connection = std::make_shared<Budget::Connection>();
     connection->socket = listener_.accept();
     if (stopping_) return;
     if (!connection->socket.is_open()) {
       // Out of sockets, most likely: free one rather than spin on the same failure.
-      make_room();
+      budget_.make_room(newcomers_);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
       continue;
     }
     connection->socket.set_limit(kIdleLimit);
-    connection->last_used_ms = now_ms();
-    bool full = false;
-    {
-      std::lock_guard lock(mutex_);
-      open_.push_back(connection);
-      full = open_.size() > most_;
-    }
-    if (full) make_room();
+    connection->door = this;
+    connection->held.party = newcomers_;
+    if (!budget_.admit(connection)) continue;  // which closes it
     ++serving_;
     try {
       std::thread([this, connection] {
         serve(connection);
-        {
-          std::lock_guard lock(mutex_);
-          open_.remove(connection);
-        }
+        budget_.leave(connection);
         --serving_;
       }).detach();
     } catch (const std::system_error& error) {
       spdlog::error("no thread for a connection: {}", error.what());
-      std::lock_guard lock(mutex_);
-      open_.remove(connection);
+      budget_.leave(connection);
       --serving_;
     }
   }
 }
 
-void Server::make_room() {
-  std::lock_guard lock(mutex_);
-  std::shared_ptr<Connection> oldest;
-  for (const auto& connection : open_) {
-    if (connection->busy) continue;
-    if (!oldest || connection->last_used_ms < oldest->last_used_ms) oldest = connection;
+Reply Server::answer(Budget::Connection& connection, const Request& request) {
+  if (!budget_.begin(connection, sender_(request))) return {503, {{"error", "busy"}}, 1};
+  try {
+    return handler_(request);
+  } catch (const BadMessage& bad) {
+    return {400, {{"error", bad.what()}}};
+  } catch (const std::exception& error) {
+    spdlog::error("{} {}: {}", request.method, request.path, error.what());
+    return {503, {{"error", "internal"}}, 1};
   }
-  if (oldest) oldest->socket.shut();
 }
 
-void Server::serve(const std::shared_ptr<Connection>& connection) {
+void Server::serve(const Budget::Shared& connection) {
   Socket& socket = connection->socket;
   Buffer buffer;
   for (;;) {
@@ -128,27 +116,17 @@
       socket.shut();
       return;
     }
-    connection->busy = true;
     auto& message = parser.get();
     const bool keep = message.keep_alive();
     const unsigned version = message.version();
     const std::string target(message.target());
     const auto mark = target.find('?');
-    Request request{std::string(message.method_string()), target.substr(0, mark),
-                    mark == std::string::npos ? "" : target.substr(mark + 1),
-                    std::move(message.body())};
-    Reply reply;
-    try {
-      reply = handler_(request);
-    } catch (const BadMessage& bad) {
-      reply = Reply{400, {{"error", bad.what()}}};
-    } catch (const std::exception& error) {
-      spdlog::error("{} {}: {}", request.method, request.path, error.what());
-      reply = Reply{503, {{"error", "internal"}}, 1};
-    }
+    const Request request{std::string(message.method_string()), target.substr(0, mark),
+                          mark == std::string::npos ? "" : target.substr(mark + 1),
+                          std::move(message.body())};
+    const Reply reply = answer(*connection, request);
     const bool sent = socket.send_all(reply_bytes(reply, version, keep));
-    connection->last_used_ms = now_ms();
-    connection->busy = false;
+    budget_.end(*connection);
     if (!sent || !keep || stopping_) {
       socket.shut();
       return;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
-#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -12,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "wire/budget.h"
 #include "wire/message.h"
 #include "wire/socket.h"
 
@@ -32,29 +32,26 @@
 
 using Handler = std::function<Reply(const Request&)>;
 
-// Accepts connections and answers each on a thread of its own. Past `most` connections the one
-// that has been silent longest is closed, so that idle peers cannot shut others out.
+// Accepts connections and answers each on a thread of its own, within a budget that doors share.
 class Server {
  public:
-  Server(const Address& on, std::size_t most, Handler handler);
+  // Who sends such a request.
+  using Sender = std::function<Party(const Request&)>;
+
+  // `newcomers`: who comes to this door, as far as that is known before the first request.
+  Server(const Address& on, Budget& budget, Party newcomers, Sender sender, Handler handler);
   ~Server();
 
  private:
-  struct Connection {
-    Socket socket;
-    std::atomic<std::int64_t> last_used_ms{0};
-    std::atomic<bool> busy{false};
-  };
-
   void accept_loop();
-  void serve(const std::shared_ptr<Connection>& connection);
-  void make_room();
+  void serve(const Budget::Shared& connection);
+  Reply answer(Budget::Connection& connection, const Request& request);
 
+  Budget& budget_;
+  Party newcomers_;
+  Sender sender_;
   Handler handler_;
-  std::size_t most_;
   Socket listener_;
-  std::mutex mutex_;
-  std::list<std::shared_ptr<Connection>> open_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> serving_{0};
   std::thread acceptor_;
--- a/test/standins.cpp
+++ b/test/standins.cpp
@@ -50,7 +50,8 @@
     }
   });
   server_ = std::make_unique<wire::Server>(
-      wire::Address{"127.0.0.1", port}, 100,
+      wire::Address{"127.0.0.1", port}, budget_, wire::Party::user,
+      [](const wire::Request&) { return wire::Party::user; },
       [this](const wire::Request& request) { return serve(request); });
 }
 
@@ -155,7 +156,8 @@
 CloudStandIn::CloudStandIn(std::uint16_t port, std::map<std::string, wire::Address> controllers)
     : controllers_(std::move(controllers)) {
   server_ = std::make_unique<wire::Server>(
-      wire::Address{"127.0.0.1", port}, 100,
+      wire::Address{"127.0.0.1", port}, budget_, wire::Party::user,
+      [](const wire::Request&) { return wire::Party::user; },
       [this](const wire::Request& request) { return serve(request); });
 }
 
--- a/test/standins.h
+++ b/test/standins.h
@@ -36,6 +36,7 @@
   std::map<std::uint64_t, std::pair<double, double>> permits_;  // end, life
   std::atomic<bool> stopping_{false};
   std::thread reaper_;
+  wire::Budget budget_{200};
   std::unique_ptr<wire::Server> server_;
 };
 
@@ -68,6 +69,7 @@
   std::map<std::string, std::set<std::string>> done_;  // tasks, by job
   std::atomic<int> ran_twice_{0};
   std::atomic<int> too_early_{0};
+  wire::Budget budget_{200};
   std::unique_ptr<wire::Server> server_;
 };
 
