Waiting jobs no longer look at every machine; passes of the owner look at news only

Change: placement::Openings shelves machines by kind with a bound on their room; preempt sorts rooms by pool once; the cluster notes jobs with news; parked answers are looked at when something changed. Decisions are the same: Openings is held against a look at every machine by a property test, and its work is counted.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -119,7 +119,11 @@
   answer(workers::encode_response(cluster_.baton, orders));
 }
 
+// Thousands may be parked while starts wait for writes; each is looked at again when a plan, a
+// stored record or a cancellation may have changed its case, or its time is over.
 void Leader::answer_parked(double now) {
+  const bool expired = !parked_.empty() && now >= parked_.front().since + kParkFor;
+  if (!std::exchange(look_at_parked_, false) && !expired) return;
   std::vector<Parked> still;
   for (Parked& parked : parked_) {
     const Host* host = cluster_.host(parked.host);
@@ -177,7 +181,7 @@
         pipelines::settle(cluster_, id, Fate::cancelled, now);
       }
     }
-    reurge_ = replan_ = rebuy_ = true;
+    reurge_ = replan_ = rebuy_ = look_at_parked_ = true;
   } catch (const std::exception& error) {
     spdlog::error("record {}: {}", key, error.what());
   }
@@ -232,6 +236,7 @@
 
 void Leader::on_settled(const state::Committed& committed, double now) {
   if (!in_flight_) return;
+  look_at_parked_ = true;
   note_throttled(committed.throttled, now);
   // "Malformed" tells of this sending alone: an earlier one may have come before the limits did.
   if (committed.outcome == Outcome::unknown ||
@@ -308,7 +313,7 @@
   tombstones_[name] = now;
   if (at == cluster_.host_index.end()) return;
   cluster_.remove_host(at->second, now);
-  replan_ = rebuy_ = true;
+  replan_ = rebuy_ = look_at_parked_ = true;
 }
 
 void Leader::on_list(const std::vector<cloud::Listed>& listed, double asked_at, double now) {
@@ -485,8 +490,11 @@
 }
 
 Outbox Leader::advance(double now) {
-  if (std::exchange(reurge_, false)) pipelines::urge(cluster_);
-  for (const std::string& id : pipelines::unknown(cluster_)) {
+  if (std::exchange(reurge_, false)) {
+    pipelines::urge(cluster_);
+    unknown_ = pipelines::unknown(cluster_);
+  }
+  for (const std::string& id : unknown_) {
     const auto [at, fresh] = looked_up_at_.try_emplace(id, now);
     if (!fresh && now - at->second < kLookUpAgain_s) continue;
     at->second = now;
@@ -495,6 +503,7 @@
   const double since_plan = now - planned_at_;
   if ((replan_ && since_plan >= kPlanAtMostEvery) || since_plan > kPlanEvery) {
     replan_ = false;
+    look_at_parked_ = true;
     planned_at_ = now;
     if (placement::plan(cluster_, now) > 0) rebuy_ = true;
   }
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -105,7 +105,9 @@
   std::vector<double> throttled_at_;
   bool under_next_rate_ = false;
   std::map<std::string, double> looked_up_at_;
-  std::vector<Parked> parked_;
+  std::vector<Parked> parked_;                // the longest waiting first
+  bool look_at_parked_ = false;               // something has changed that may let answers go
+  std::vector<std::string> unknown_;          // jobs that others need and nothing is known of
   std::map<std::string, double> tombstones_;  // machines
   // Jobs whose end was settled under this lead, with its stamp. The watch may yet bring headers
   // from before.
--- a/src/controller/ledger.cpp
+++ b/src/controller/ledger.cpp
@@ -133,21 +133,28 @@
 }
 
 void Ledger::add_headers(Cluster& cluster, double now, Builder& builder) {
-  for (auto& job : cluster.jobs) {
-    if (!builder.has_room()) return;
-    if (!job || job->cancelled || job->over() || now - job->told_at < kTellEvery) continue;
-    const std::uint32_t running = running_tasks(*job);
+  for (auto at = cluster.news.begin(); at != cluster.news.end() && builder.has_room();) {
+    Job& job = *cluster.jobs[*at];
+    if (now - job.told_at < kTellEvery) {
+      ++at;
+      continue;
+    }
+    const std::uint32_t running = running_tasks(job);
     // A change of phase shows; counts alone are refreshed along with it.
-    if ((running > 0) == (job->told_running > 0) && job->done_count == job->told_done) continue;
-    const std::string key = jobs::job_key(job->spec.id);
-    job->told_at = now;
-    state::Json value =
-        jobs::encode_header({job->spec, false, job->done_count, running, job->born});
+    const bool told = (running > 0) == (job.told_running > 0) && job.done_count == job.told_done;
+    if (told || job.cancelled || job.over()) {
+      at = cluster.news.erase(at);
+      continue;
+    }
+    ++at;
+    const std::string key = jobs::job_key(job.spec.id);
+    job.told_at = now;
+    state::Json value = jobs::encode_header({job.spec, false, job.done_count, running, job.born});
     // Accepted when values could be longer: its counts are not shown.
     if (avoids(key, now) || !state::fits(value, cluster.value_kb())) continue;
-    builder.require(key, job->stamp);
+    builder.require(key, job.stamp);
     builder.write(key, std::move(value));
-    builder.batch.headers.push_back({job->spec.id, job->done_count, running});
+    builder.batch.headers.push_back({job.spec.id, job.done_count, running});
   }
 }
 
@@ -232,6 +239,7 @@
       job->stamp = std::max(job->stamp, committed.epoch);
       job->told_done = told.done;
       job->told_running = told.running;
+      cluster.news.insert(cluster.job_index[told.job]);  // they may have changed meanwhile
     }
   }
   for (const Note& note : batch.notes) {
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -176,6 +176,7 @@
   measure(job);
   job_index[job.spec.id] = index;
   jobs[index] = std::move(made);
+  news.insert(index);
   if (header.cancelled) cancel(index, now);
   return index;
 }
@@ -225,6 +226,7 @@
   }
   for (std::size_t chunk = 0; chunk < job.chunks.size(); ++chunk) dirty.erase({index, chunk});
   over.erase(index);
+  news.erase(index);
   for (const Need& need : job.needs) {
     const auto at = needed_by.find(need.id);
     if (at != needed_by.end() && at->second.erase(index) > 0 && at->second.empty()) {
@@ -244,15 +246,15 @@
 Index Cluster::add_host(const std::string& name, double now) {
   const auto known = host_index.find(name);
   if (known != host_index.end()) return known->second;
-  const auto slot = std::find(hosts.begin(), hosts.end(), nullptr);
-  const auto index = static_cast<Index>(slot - hosts.begin());
+  const auto index = free_hosts_.empty() ? static_cast<Index>(hosts.size()) : *free_hosts_.begin();
   auto made = std::make_unique<Host>();
   made->name = name;
   made->known_at = made->rented_at = made->idle_since = now;
-  if (slot == hosts.end()) {
+  if (free_hosts_.empty()) {
     hosts.push_back(std::move(made));
   } else {
-    *slot = std::move(made);
+    hosts[index] = std::move(made);
+    free_hosts_.erase(index);
   }
   host_index[name] = index;
   share_names(name);
@@ -310,6 +312,7 @@
   for (const TaskRef& ref : attempts) end_attempt(ref.job, ref.task, now);
   host_index.erase(hosts[index]->name);
   hosts[index].reset();
+  free_hosts_.insert(index);
 }
 
 Host* Cluster::host(const std::string& name) {
@@ -515,6 +518,7 @@
 }
 
 void Cluster::touch(Index index, std::uint32_t task, double now) {
+  news.insert(index);
   const std::size_t number = jobs[index]->chunk_of(task);
   Chunk& chunk = jobs[index]->chunks[number];
   if (chunk.changed++ == chunk.stored) chunk.dirty_since = now;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -240,6 +240,7 @@
   std::unordered_map<std::string, std::set<Index>> needed_by;  // live jobs, by what they need
   std::set<ChunkRef> dirty;
   std::set<Index> over;  // jobs to be moved to their end
+  std::set<Index> news;  // jobs whose counts for display may have changed
   // Types, spot or ordinary, that tasks too large for any smaller machine have lately asked for,
   // and until when they are kept for such tasks.
   std::map<std::pair<Index, bool>, double> kept_for_large;
@@ -321,6 +322,7 @@
   std::string shared_;                            // letters with which all machines' names begin
   std::vector<const cloud::MachineType*> kinds_;  // by type
   std::vector<Index> free_jobs_;
+  std::set<Index> free_hosts_;
 };
 
 }  // namespace reachramp::placement
--- /dev/null
+++ b/src/placement/openings_test.cpp
@@ -0,0 +1,119 @@
+#include "placement/openings.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "machines.h"
+#include "placement/plan.h"
+
+namespace reachramp::placement {
+namespace {
+
+settings::Platform platform() {
+  settings::Platform p;
+  p.teams = {{"red", 0, 0, 0, 0}, {"blue", 1000, 0, 0, 0}};
+  return p;
+}
+
+struct World {
+  World() : cluster(p, 1, jobs::Format::compact) {
+    cluster.set_catalog({{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a", "b"}},
+                         {"odd", 4, 1, 16, 50, 1, 0.4, 0.1, 5, {"b"}},
+                         {"large", 32, 0, 128, 50, 1, 3.2, 0.8, 5, {"a", "b"}}});
+  }
+  Index add(std::uint32_t tasks, double cpus, double ram_gb, const std::string& team = "red") {
+    jobs::Header made;
+    made.spec.id = "j-" + std::to_string(cluster.jobs.size());
+    made.spec.team = team;
+    made.spec.tasks = tasks;
+    made.spec.cpus = cpus;
+    made.spec.ram_gb = ram_gb;
+    made.spec.image = "img-" + std::to_string(cluster.jobs.size() % 3);
+    made.spec.spot = true;
+    return cluster.add_job(made, cluster.jobs.size() + 1, 0);
+  }
+  settings::Platform p = platform();
+  Cluster cluster;
+};
+
+// What the openings are to find, machine by machine.
+std::vector<Index> one_by_one(const Cluster& cluster, const Job& job,
+                              const std::vector<bool>& kept) {
+  std::vector<std::tuple<bool, double, Index, bool, Index>> found;
+  for (Index i = 0; i < cluster.hosts.size(); ++i) {
+    const Host& host = *cluster.hosts[i];
+    if (kept[i] || !usable(cluster, host, 1) || !allows(cluster, job, host) ||
+        !host.free.holds(job.need)) {
+      continue;
+    }
+    found.emplace_back(!host.spot, cluster.type_of(host)->cpus, host.type,
+                       !host.images.contains(job.spec.image), i);
+  }
+  std::sort(found.begin(), found.end());
+  std::vector<Index> order;
+  for (const auto& one : found) order.push_back(std::get<4>(one));
+  return order;
+}
+
+// Kinds that are passed over hold nothing that is looked for, also after tasks were placed, ended
+// and machines kept.
+RC_GTEST_PROP(Openings, FindWhatALookAtEveryMachineFinds, ()) {
+  World world;
+  Cluster& cluster = world.cluster;
+  const auto pick = [](int end) { return *rc::gen::inRange(0, end); };
+  const std::vector<std::string> types{"small", "odd", "large"};
+  for (int i = 0, size = 1 + pick(20); i < size; ++i) {
+    const Index host = test::add_machine(cluster, types[pick(3)], pick(2) ? "a" : "b", pick(2));
+    cluster.hosts[host]->draining = pick(6) == 0;
+    cluster.hosts[host]->images.insert("img-" + std::to_string(pick(3)));
+  }
+  for (int i = 0; i < 6; ++i) {
+    const Index job = world.add(30, 1 + pick(6), pick(20));
+    cluster.jobs[job]->zone = pick(3) == 0 ? cluster.zones.find("a") : kNone;
+    cluster.jobs[job]->spec.spot = pick(3) != 0;
+  }
+  Openings open(cluster, 1);
+  std::vector<bool> kept(cluster.hosts.size());
+  for (int step = 0; step < 30; ++step) {
+    const Index index = static_cast<Index>(pick(6));
+    Job& job = *cluster.jobs[index];
+    const auto found = open.candidates(job);
+    RC_ASSERT(found == one_by_one(cluster, job, kept));
+    const std::uint32_t task = cluster.next_pending(job, 0);
+    if (!found.empty() && task < job.spec.tasks && pick(4) > 0) {
+      cluster.place(index, task, 1, found[pick(static_cast<int>(found.size()))], 1);
+    } else if (!job.attempts.empty() && pick(2) == 0) {
+      cluster.end_attempt(index, job.attempts.begin()->first, 1);
+      open.grown();
+    } else if (!found.empty()) {
+      open.keep({found.front()});
+      kept[found.front()] = true;
+    }
+  }
+}
+
+// A full fleet with many waiting jobs: each was held against each machine, ten times a second.
+TEST(Openings, WaitingJobsDoNotLookAtAFullFleet) {
+  World world;
+  constexpr std::size_t kMachines = 200, kJobs = 300;
+  for (std::size_t i = 0; i < kMachines; ++i) {
+    test::add_machine(world.cluster, "small", i % 2 ? "a" : "b", true);
+  }
+  const Index first = world.add(kMachines * 4, 1, 1);
+  EXPECT_EQ(plan(world.cluster, 1), static_cast<int>(kMachines * 4));
+  Openings open(world.cluster, 1);
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    const Job& job = *world.cluster.jobs[world.add(10, 1, 1)];
+    EXPECT_TRUE(open.candidates(job).empty());
+    EXPECT_TRUE(open.growing(job).empty());
+  }
+  EXPECT_EQ(open.looked_at(), kMachines) << "once, when the plan began";
+  world.cluster.end_attempt(first, 0, 1);
+  open.grown();
+  EXPECT_EQ(open.candidates(*world.cluster.jobs.back()).size(), 1u);
+}
+
+}  // namespace
+}  // namespace reachramp::placement
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "placement/openings.h"
 #include "placement/order.h"
 #include "placement/preempt.h"
 
@@ -13,7 +14,6 @@
 namespace {
 
 constexpr double kLeastNotice = 1.5;
-constexpr double kCrumb = 1e-6;
 
 // Tasks of the job by zone, ended attempts excepted. Nothing if one of them is in a zone that is
 // not known.
@@ -27,52 +27,6 @@
   return in_use;
 }
 
-bool avoided(const Job& job, Index host, double now) {
-  const auto at = job.failed_on.find(host);
-  return at != job.failed_on.end() && now < at->second;
-}
-
-// Machines that take tasks, in the order in which tasks try them: spot before ordinary for work
-// that may use either, small before large so that large ones stay whole. Worked out once a plan: at
-// hundreds of machines and dozens of jobs, doing so for every job took most of a leader's processor
-// time.
-std::vector<Index> open_machines(const Cluster& cluster, double now) {
-  std::vector<Index> found;
-  for (Index i = 0; i < cluster.hosts.size(); ++i) {
-    const auto& host = cluster.hosts[i];
-    if (host && usable(cluster, *host, now) && cluster.type_of(*host) != nullptr) {
-      found.push_back(i);
-    }
-  }
-  const auto rank = [&](Index i) {
-    const Host& host = *cluster.hosts[i];
-    return std::tuple(!host.spot, cluster.type_of(host)->cpus, host.type, i);
-  };
-  std::sort(found.begin(), found.end(), [&](Index a, Index b) { return rank(a) < rank(b); });
-  return found;
-}
-
-// Of these, the ones that could take a task of the job now; among equals those that hold its image
-// already come first.
-std::vector<Index> candidates(const Cluster& cluster, const Job& job,
-                              const std::vector<Index>& open, double now) {
-  std::vector<Index> found;
-  std::vector<Index> without_image;
-  std::pair<bool, Index> kind{false, kNone};
-  const auto close_kind = [&] {
-    found.insert(found.end(), without_image.begin(), without_image.end());
-    without_image.clear();
-  };
-  for (const Index i : open) {
-    const Host& host = *cluster.hosts[i];
-    if (!host.free.holds(job.need) || !allows(cluster, job, host) || avoided(job, i, now)) continue;
-    if (std::exchange(kind, {host.spot, host.type}) != kind) close_kind();
-    (host.images.contains(job.spec.image) ? found : without_image).push_back(i);
-  }
-  close_kind();
-  return found;
-}
-
 // Keeps to the zone rules of one job while its tasks are placed one by one.
 class ZoneRules {
  public:
@@ -107,51 +61,26 @@
   return best;
 }
 
-// Whether machines that are up would hold so many tasks of the job if nothing else ran there.
-bool could_hold(const Cluster& cluster, const Job& job, Index zone, std::uint32_t tasks,
-                double now) {
-  std::uint32_t copies = 0;
-  for (const auto& host : cluster.hosts) {
-    if (!host || (zone != kNone && host->zone != zone) || !usable(cluster, *host, now) ||
-        !allows(cluster, job, *host)) {
-      continue;
-    }
-    const auto* type = cluster.type_of(*host);
-    copies += Resources{type->cpus, type->gpus, type->ram_gb}.copies(job.need);
-    if (copies >= tasks) return true;
-  }
-  return false;
-}
-
 // Room too small for the job's tasks is kept from all that come after it, where it may grow: tasks
 // of one core took every core as it came free, and tasks of two cores that went before them waited
 // two minutes for a machine with two.
-void keep_growing_room(const Cluster& cluster, const Job& job, std::vector<Index>& open,
-                       double now) {
+void keep_growing_room(const Cluster& cluster, const Job& job, Openings& open) {
   if (!cluster.within_limit(job, 1)) return;
   std::size_t missing = job.spec.tasks - job.done_count;
   missing -= std::min(missing, job.attempts.size());
-  std::vector<Index> growing;
-  for (const Index i : open) {
-    const Host& host = *cluster.hosts[i];
-    if (host.free.cpus > kCrumb && host.free.ram_gb > kCrumb && !host.free.holds(job.need) &&
-        allows(cluster, job, host) && !avoided(job, i, now)) {
-      growing.push_back(i);
-    }
-  }
+  std::vector<Index> growing = open.growing(job);
   std::stable_sort(growing.begin(), growing.end(), [&](Index a, Index b) {
     return cluster.hosts[a]->free.cpus > cluster.hosts[b]->free.cpus;
   });
   growing.resize(std::min(growing.size(), missing));
-  const std::set<Index> kept(growing.begin(), growing.end());
-  std::erase_if(open, [&](Index i) { return kept.contains(i); });
+  open.keep(growing);
 }
 
-int place_array(Cluster& cluster, Index index, const std::vector<Index>& open, double now) {
+int place_array(Cluster& cluster, Index index, Openings& open, double now) {
   Job& job = *cluster.jobs[index];
   std::uint32_t task = cluster.next_pending(job, 0);
   if (task == job.spec.tasks) return 0;
-  std::vector<Index> hosts = candidates(cluster, job, open, now);
+  std::vector<Index> hosts = open.candidates(job);
   if (hosts.empty()) return 0;
   auto in_use = zones_in_use(cluster, job);
   if (!in_use) return 0;
@@ -178,7 +107,7 @@
 // All tasks of a gang or none; while it still gathers, replacements join the same attempt. A gang
 // that lacks machines keeps those of its zone from all that come after it: smaller gangs took them
 // one by one, and one of three machines waited 80 s although it was the first in line.
-int place_gang(Cluster& cluster, Index index, std::vector<Index>& open, double now) {
+int place_gang(Cluster& cluster, Index index, Openings& open, double now) {
   Job& job = *cluster.jobs[index];
   const bool gathering = !job.attempts.empty();
   const auto wanted = job.spec.tasks - static_cast<std::uint32_t>(job.attempts.size());
@@ -191,7 +120,7 @@
   }
   auto in_use = zones_in_use(cluster, job);
   if (!in_use) return 0;
-  std::vector<Index> hosts = candidates(cluster, job, open, now);
+  std::vector<Index> hosts = open.candidates(job);
   if (gathering) {
     // A machine that still lists the attempt would ignore a start with the same number.
     std::erase_if(hosts, [&](Index i) {
@@ -217,11 +146,7 @@
   if (chosen.size() < wanted) {
     const Index zone =
         job.spec.one_zone && !chosen.empty() ? cluster.hosts[chosen.front()]->zone : kNone;
-    if (could_hold(cluster, job, zone, wanted, now)) {
-      std::erase_if(open, [&](Index i) {
-        return std::find(chosen.begin(), chosen.end(), i) != chosen.end();
-      });
-    }
+    if (open.could_hold(job, zone, wanted)) open.keep(chosen);
     return 0;
   }
   const std::uint64_t attempt = gathering ? job.last_attempt : job.last_attempt + 1;
@@ -234,18 +159,20 @@
 }
 
 // A gang that lost a task cannot go on: the rest is stopped and a new attempt begins once all of
-// it is gone.
-void stop_broken_gang(Cluster& cluster, Index index) {
+// it is gone. Returns whether that freed room.
+bool stop_broken_gang(Cluster& cluster, Index index) {
   Job& job = *cluster.jobs[index];
-  if (job.complete()) return;
+  if (job.complete()) return false;
   const bool torn = job.gang_started && job.attempts.size() < job.spec.tasks;
   const bool stopping = std::any_of(job.attempts.begin(), job.attempts.end(),
                                     [](const auto& entry) { return entry.second.stopping; });
-  if (!torn && !stopping) return;
+  if (!torn && !stopping) return false;
+  const std::size_t before = job.attempts.size();
   for (auto& [task, attempt] : job.attempts) {
     cluster.stop(index, task, torn ? 0 : job.spec.save_s + 1);
   }
   cluster.release_unsent(index, 0);
+  return job.attempts.size() < before;
 }
 
 // A machine under notice takes no new work. What can save its progress does so while there is
@@ -280,28 +207,33 @@
          host.faults < kTooManyFaults && now - host.heard_at < cluster.platform.workers.lease_s;
 }
 
+bool allows(const Cluster& cluster, const Job& job, Index type, bool spot) {
+  return (job.spec.spot || !spot) && job.fits[type] && !cluster.is_kept_from(job, type, spot);
+}
+
+bool in_zone(const Job& job, Index zone) { return job.zone == kNone || job.zone == zone; }
+
 bool allows(const Cluster& cluster, const Job& job, const Host& host) {
-  return cluster.type_of(host) != nullptr && (job.spec.spot || !host.spot) &&
-         (job.zone == kNone || job.zone == host.zone) && job.fits[host.type] &&
-         !cluster.is_kept_from(job, host.type, host.spot);
+  return cluster.type_of(host) != nullptr && in_zone(job, host.zone) &&
+         allows(cluster, job, host.type, host.spot);
 }
 
 int plan(Cluster& cluster, double now) {
   cluster.keep_for_large(now);
   heed_notices(cluster, now);
-  std::vector<Index> open = open_machines(cluster, now);
+  Openings open(cluster, now);
   int placed = 0;
   const Service service = service_order(cluster, now);
   for (const Index index : service.order) {
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
-    if (gang) stop_broken_gang(cluster, index);
+    if (gang && stop_broken_gang(cluster, index)) open.grown();
     if (now < job.not_before) continue;
     const int more =
         gang ? place_gang(cluster, index, open, now) : place_array(cluster, index, open, now);
     placed += more;
     if (!gang && cluster.next_pending(job, 0) < job.spec.tasks) {
-      keep_growing_room(cluster, job, open, now);
+      keep_growing_room(cluster, job, open);
     }
     if (more > 0 && cluster.next_pending(job, 0) == job.spec.tasks) {
       spdlog::info("job {}: all tasks placed after {:.1f} s", job.spec.id, now - job.freed_at);
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -11,7 +11,9 @@
 // Whether the machine can be given tasks now.
 bool usable(const Cluster& cluster, const Host& host, double now);
 
-// Whether the machine's kind is one on which the job may run.
+// Whether the job may run on such machines, in their zone, and on the machine.
+bool allows(const Cluster& cluster, const Job& job, Index type, bool spot);
+bool in_zone(const Job& job, Index zone);
 bool allows(const Cluster& cluster, const Job& job, const Host& host);
 
 // Places what fits, marks machines to be drained, stops what must leave them. Returns how many
--- a/src/placement/preempt.cpp
+++ b/src/placement/preempt.cpp
@@ -14,6 +14,7 @@
 // Room may come by itself, and a start that is stopped at once was for nothing.
 constexpr double kWaitFirst_s = 3;
 constexpr double kRunAtLeast_s = 30;
+constexpr double kCrumb = 1e-6;
 
 // PROTOCOL, "Preemption": for higher priority, or what another team runs beyond its own guarantee.
 // `yielded`: cores by team that are being stopped already.
@@ -40,37 +41,72 @@
   });
 }
 
-// Copies of a task that the machine holds once all that is being stopped there has ended.
-std::uint32_t copies_after_stops(const Cluster& cluster, const Host& host, const Job& job) {
-  Resources room = host.free;
-  for (const TaskRef& ref : host.attempts) {
-    const Job& other = *cluster.jobs[ref.job];
-    if (other.attempts.at(ref.task).stopping) room += other.need;
+// Room on machines that are up once all that is being stopped there has ended, by pool, the most
+// cores first: in a full fleet, where claims are made, most machines have none.
+class Rooms {
+ public:
+  Rooms(const Cluster& cluster, double now) : cluster_(cluster), rooms_(cluster.hosts.size()) {
+    for (Index i = 0; i < cluster.hosts.size(); ++i) {
+      const auto& host = cluster.hosts[i];
+      if (!host || !usable(cluster, *host, now) || cluster.type_of(*host) == nullptr) continue;
+      up_.push_back(i);
+      rooms_[i] = host->free;
+      for (const TaskRef& ref : host->attempts) {
+        const Job& job = *cluster.jobs[ref.job];
+        if (job.attempts.at(ref.task).stopping) rooms_[i] += job.need;
+      }
+    }
+    sort_out();
+  }
+
+  // The job's tasks are being stopped as well.
+  void add(const Job& job) {
+    for (const auto& [task, attempt] : job.attempts) rooms_[attempt.host] += job.need;
+    sort_out();
   }
-  return room.copies(job.need);
-}
 
-// Room in each zone for tasks of the job.
-std::map<Index, std::uint32_t> room_for(const Cluster& cluster, const Job& job, double now) {
-  std::map<Index, std::uint32_t> room;
-  for (const auto& host : cluster.hosts) {
-    if (host && usable(cluster, *host, now) && allows(cluster, job, *host)) {
-      room[host->zone] += copies_after_stops(cluster, *host, job);
+  // For tasks of the job, by zone; zones that hold none, but where it might run, among them.
+  std::map<Index, std::uint32_t> copies(const Job& job) const {
+    std::map<Index, std::uint32_t> found;
+    for (const auto& [pool, machines] : by_pool_) {
+      if (!in_zone(job, pool.zone) || !allows(cluster_, job, pool.type, pool.spot)) continue;
+      std::uint32_t& copies = found[pool.zone];
+      for (const Index i : machines) {
+        if (rooms_[i].cpus + kCrumb < job.need.cpus) break;
+        copies += rooms_[i].copies(job.need);
+      }
     }
+    return found;
   }
-  return room;
-}
+
+ private:
+  void sort_out() {
+    by_pool_.clear();
+    for (const Index i : up_) {
+      const Host& host = *cluster_.hosts[i];
+      by_pool_[{host.type, host.zone, host.spot}].push_back(i);
+    }
+    for (auto& [pool, machines] : by_pool_) {
+      std::sort(machines.begin(), machines.end(),
+                [&](Index a, Index b) { return rooms_[a].cpus > rooms_[b].cpus; });
+    }
+  }
+
+  const Cluster& cluster_;
+  std::vector<Index> up_;
+  std::vector<Resources> rooms_;
+  std::map<Pool, std::vector<Index>> by_pool_;
+};
 
 // Gangs to be stopped so that `missing` tasks of the claimant find room in the zone; none if even
 // all that may be stopped would not do.
-std::vector<Index> victims_in(const Cluster& cluster, const Job& claimant, bool claims_guarantee,
-                              Index zone, std::uint32_t missing, std::vector<double>& yielded,
-                              double now) {
+std::vector<Index> victims_in(const Cluster& cluster, const std::vector<Index>& able,
+                              const Job& claimant, bool claims_guarantee, Index zone,
+                              std::uint32_t missing, std::vector<double>& yielded, double now) {
   std::vector<std::pair<std::uint32_t, Index>> found;
-  for (Index i = 0; i < cluster.jobs.size(); ++i) {
+  for (const Index i : able) {
     const auto& job = cluster.jobs[i];
-    if (!job || !can_yield(*job, now) ||
-        !may_stop(cluster, *job, claimant, claims_guarantee, yielded)) {
+    if (!may_stop(cluster, *job, claimant, claims_guarantee, yielded) || !can_yield(*job, now)) {
       continue;
     }
     std::uint32_t freed = 0;
@@ -141,26 +177,32 @@
   if (claimants.empty()) return;            // as in most plans
   std::map<Index, std::uint32_t> promised;  // by zone, to claimants before
   std::vector<double> yielded = stopping_cores(cluster);
+  Rooms rooms(cluster, now);
+  std::vector<Index> able;
+  for (Index i = 0; i < cluster.jobs.size(); ++i) {
+    if (cluster.jobs[i] && can_yield(*cluster.jobs[i], now)) able.push_back(i);
+  }
   for (const Index index : claimants) {
     const Job& job = *cluster.jobs[index];
     const bool claims_guarantee =
         service.guaranteed[index] && cluster.used[job.team].cpus + job.need.cpus * job.spec.tasks <=
                                          cluster.platform.teams[job.team].cpus + 1e-6;
     std::vector<std::pair<std::uint32_t, Index>> zones;
-    for (const auto& [zone, copies] : room_for(cluster, job, now)) {
+    for (const auto& [zone, copies] : rooms.copies(job)) {
       zones.emplace_back(copies - std::min(copies, promised[zone]), zone);
     }
     std::sort(zones.rbegin(), zones.rend());  // where the least is missing first
     for (const auto& [copies, zone] : zones) {
       std::vector<Index> victims;
       if (copies < job.spec.tasks) {
-        victims =
-            victims_in(cluster, job, claims_guarantee, zone, job.spec.tasks - copies, yielded, now);
+        victims = victims_in(cluster, able, job, claims_guarantee, zone, job.spec.tasks - copies,
+                             yielded, now);
         if (victims.empty()) continue;
       }
       for (const Index victim : victims) {
         Job& loser = *cluster.jobs[victim];
         spdlog::info("job {} makes room for {}", loser.spec.id, job.spec.id);
+        rooms.add(loser);
         for (const auto& [task, attempt] : loser.attempts) {
           cluster.stop(victim, task, loser.spec.save_s + 1);
         }
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -177,9 +177,11 @@
     host.strangers.push_back(entry);
     return;
   }
+  const Seen seen = seen_as(piece.state);
+  if (attempt->inherited || attempt->seen != seen) cluster.news.insert(found->second);
   attempt->inherited = false;
   attempt->sent = true;
-  attempt->seen = seen_as(piece.state);
+  attempt->seen = seen;
   if (attempt->seen == Seen::running && attempt->running_since < 0) attempt->running_since = now;
   if (attempt->seen == Seen::running || attempt->seen == Seen::saving) job->gang_started = true;
   if (attempt->seen != Seen::fetching) host.images.insert(job->spec.image);
