After standing still a leader starts nothing on an old answer; change of leaders logged

Cause: an answer of the watch on jobs counted as current when it was taken in. Change: the answer counts from when it was asked for; the watch is asked once a second. The leader logs how long it took to hear all running machines after it took over.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -405,7 +405,25 @@
   out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}});
 }
 
+// How long a change of leaders took, as the workers see it: until all that run have been heard, or
+// a lease has gone by.
+void Leader::tell_heard(double now) {
+  if (told_heard_ || !listed_) return;
+  std::size_t running = 0, unheard = 0;
+  for (const auto& host : cluster_.hosts) {
+    if (!host || !host->runs || host->known_at > since_ + platform_.cloud_limits.list_lag_s)
+      continue;
+    ++running;
+    unheard += host->ours ? 0 : 1;
+  }
+  if (unheard > 0 && now - since_ < platform_.workers.lease_s) return;
+  told_heard_ = true;
+  spdlog::info("{} of {} running machines heard {:.1f} s after taking over", running - unheard,
+               running, now - since_);
+}
+
 void Leader::upkeep(double now) {
+  tell_heard(now);
   const double silent = platform_.workers.lease_s * 1.1;
   const auto is_silent = [&](const Host& host) {
     return host.phase == HostPhase::up && now - std::max(host.heard_at, since_) > silent;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -55,7 +55,8 @@
   void on_job_list(const std::vector<state::Entry>& entries, double now);
   void on_end_read(const std::string& id, const state::Found& found, double now);
   void on_all_upgraded() { all_upgraded_ = true; }
-  void on_jobs_current(double now) { jobs_current_at_ = now; }
+  // All cancellations until then are known.
+  void on_jobs_current(double asked_at) { jobs_current_at_ = asked_at; }
   void on_settled(const state::Committed& committed, double now);
   void on_catalog(const cloud::Catalog& catalog, double now);
   void on_list(const std::vector<cloud::Listed>& listed, double asked_at, double now);
@@ -75,6 +76,7 @@
   };
 
   void upkeep(double now);
+  void tell_heard(double now);
   void buy(double now);
   void give_back(Index host, const char* why);
   void answer(const std::string& host, const Answerer& answer, double now);
@@ -122,6 +124,7 @@
   double planned_at_ = -1e9;
   double bought_at_ = -1e9;
   double upkeep_at_ = -1e9;
+  bool told_heard_ = false;
   bool listed_ = false;  // the machines have been listed under this lead
   bool all_upgraded_ = false;
   bool reurge_ = true;
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -86,6 +86,27 @@
   EXPECT_EQ(returned(leader.advance(60.5)), 1) << "the one that is silent";
 }
 
+// A process that stands still while its clocks run on finds an answer of the watch that has waited
+// for it as long: what was cancelled meanwhile is not in it.
+TEST_F(LeaderTest, AfterStandingStillItStartsNothingOnAnOldAnswer) {
+  Leader leader = lead(snapshot({job_entry("j-1", 1)}));
+  hear(leader, 1, 1);
+  ASSERT_TRUE(leader.advance(1).commit);
+  leader.on_settled(outcome(state::Outcome::ok), 1.1);
+  const auto starts = [&](double now) {
+    std::size_t orders = 0;
+    leader.on_report(
+        report(1, static_cast<std::uint64_t>(now * 10)),
+        [&](const wire::Json& body) { orders = body.at("orders").size(); }, now);
+    leader.advance(now + 0.2);
+    return orders;
+  };
+  leader.on_jobs_current(1.2);  // asked for before it stood still, taken in afterwards
+  EXPECT_EQ(starts(31), 0u);
+  leader.on_jobs_current(31.3);
+  EXPECT_EQ(starts(31.4), 1u);
+}
+
 // inc-f4fd: a cut between two zones silenced half the fleet, which was sent back in one go.
 TEST_F(LeaderTest, ManySilentMachinesAreGivenTime) {
   Leader leader = lead(snapshot({job_entry("j-1", 40)}));
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -20,7 +20,7 @@
 constexpr double kCarryFor_s = 2.5;
 constexpr double kCarryAgain_s = 0.5;
 constexpr double kOwnerTick_s = 0.1;
-constexpr auto kFollowFor = 2000ms;
+constexpr auto kFollowFor = 1000ms;
 constexpr double kCatalogEvery_s = 10;
 constexpr double kListEvery_s = 2;
 constexpr auto kGreetingLimit = 1000ms;
@@ -207,7 +207,7 @@
     void operator()(DirectIn& in) const { leader.on_direct(in.report, now); }
     void operator()(JobsChanged& in) const {
       leader.on_jobs(in.changes, now);
-      leader.on_jobs_current(now);
+      leader.on_jobs_current(in.asked_at);
     }
     void operator()(JobsRead& in) const { leader.on_job_list(in.entries, now); }
     void operator()(EndRead& in) const { leader.on_end_read(in.id, in.found, now); }
@@ -298,12 +298,15 @@
         }
         continue;
       }
+      // Answers say what was when they were asked for, at the least: a process that stood still
+      // finds one that has waited for it as long.
+      const double asked_at = steady_now();
       state::Changes changes = state_.follow("job/", position, kFollowFor);
       if (changes.outcome == Outcome::absent) {
         position = 0;
       } else if (changes.outcome == Outcome::ok) {
         position = changes.epoch;
-        commands_.push({baton, JobsChanged{std::move(changes.changes)}});
+        commands_.push({baton, JobsChanged{std::move(changes.changes), asked_at}});
       } else {
         std::this_thread::sleep_for(state::jittered(0.3));
       }
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -45,6 +45,7 @@
   };
   struct JobsChanged {
     std::vector<state::Change> changes;
+    double asked_at = 0;
   };
   struct JobsRead {
     std::vector<state::Entry> entries;
