--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -416,10 +416,15 @@
     ++running;
     unheard += host->ours ? 0 : 1;
   }
-  if (unheard > 0 && now - since_ < platform_.workers.lease_s) return;
+  const double passed = now - since_;
+  if (half_heard_s_ < 0 && unheard * 2 <= running) half_heard_s_ = passed;
+  if (most_heard_s_ < 0 && unheard * 100 <= running) most_heard_s_ = passed;
+  if (unheard > 0 && passed < platform_.workers.lease_s) return;
   told_heard_ = true;
-  spdlog::info("{} of {} running machines heard {:.1f} s after taking over", running - unheard,
-               running, now - since_);
+  spdlog::info(
+      "{} of {} running machines heard {:.1f} s after taking over, half of them within {:.1f} s, "
+      "99 of 100 within {:.1f} s",
+      running - unheard, running, passed, half_heard_s_, most_heard_s_);
 }
 
 void Leader::upkeep(double now) {
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -125,7 +125,8 @@
   double bought_at_ = -1e9;
   double upkeep_at_ = -1e9;
   bool told_heard_ = false;
-  bool listed_ = false;  // the machines have been listed under this lead
+  double half_heard_s_ = -1, most_heard_s_ = -1;  // since taking over; not yet: -1
+  bool listed_ = false;                           // the machines have been listed under this lead
   bool all_upgraded_ = false;
   bool reurge_ = true;
   bool replan_ = true;
