A dead leader's key lives four seconds at most

Cause: the key's life was three tenths of the workers' lease, 7 to 8 s on the fleet sites; until it is over nothing starts and no machine is rented. Change: at most 4 s; sites with short leases, at 3 to 3.6 s, are as they were.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -421,6 +421,7 @@
   if (most_heard_s_ < 0 && unheard * 100 <= running) most_heard_s_ = passed;
   if (unheard > 0 && passed < platform_.workers.lease_s) return;
   told_heard_ = true;
+  if (running == 0) return;
   spdlog::info(
       "{} of {} running machines heard {:.1f} s after taking over, half of them within {:.1f} s, "
       "99 of 100 within {:.1f} s",
--- a/src/leadership/campaign.cpp
+++ b/src/leadership/campaign.cpp
@@ -17,6 +17,9 @@
 constexpr const char* kKey = "leader";
 // Without a leader nobody answers workers: a new one must be there well within their lease.
 constexpr double kLifeOfLease = 0.3;
+// Long leases do not make a dead leader any better: meanwhile nothing starts. Sites with short ones
+// have always lived with less.
+constexpr double kLongestLife_s = 4;
 constexpr double kRenewalsPerLife = 4;
 constexpr double kRetry_s = 0.3;
 
@@ -34,7 +37,7 @@
 Campaign::Campaign(state::Client& state, const settings::Platform& platform)
     : state_(state),
       platform_(platform),
-      life_s_(std::max(1.0, platform.workers.lease_s * kLifeOfLease)),
+      life_s_(std::clamp(platform.workers.lease_s * kLifeOfLease, 1.0, kLongestLife_s)),
       nonce_(random_nonce()) {}
 
 Standing Campaign::standing() {
