Threads serve one connection after another; carried reports leave the leader half its room

Cause: at 2,500 machines a leader died, and the next one had no thread for 98 connections at once: threads that were on their way out came on top of the 1,936 that the budget allows, and four other nodes carried up to 760 reports each to it. Change: wire::Crew, never more threads than connections, which keeps a tenth of the limit in reserve; each node carries so many reports at once that all together leave the leader half of its connections.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -422,10 +422,12 @@
   if (unheard > 0 && passed < platform_.workers.lease_s) return;
   told_heard_ = true;
   if (running == 0) return;
+  const auto within = [](double seconds) {
+    return seconds < 0 ? std::string("not yet") : fmt::format("{:.1f} s", seconds);
+  };
   spdlog::info(
-      "{} of {} running machines heard {:.1f} s after taking over, half of them within {:.1f} s, "
-      "99 of 100 within {:.1f} s",
-      running - unheard, running, passed, half_heard_s_, most_heard_s_);
+      "{} of {} running machines heard {:.1f} s after taking over; half: {}, 99 of 100: {}",
+      running - unheard, running, passed, within(half_heard_s_), within(most_heard_s_));
 }
 
 void Leader::upkeep(double now) {
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -9,10 +9,12 @@
 // Twice this, on a detour, is still less than a worker waits.
 constexpr auto kLimit = std::chrono::milliseconds(1500);
 constexpr double kCutOffFor_s = 4;
-// Of all descriptors. A change of leaders sets all workers' reports going at once; without a
-// descriptor for it, one would take the leader for cut off.
-constexpr double kCarriedShare = 0.2;
-constexpr double kKeptShare = 0.1;
+// A change of leaders sets all workers' reports going at once. Without a descriptor for it, one
+// would take the leader for cut off; and all nodes together must leave the leader half of the
+// connections that it can serve.
+constexpr double kCarriedShare = 0.2;  // of descriptors
+constexpr double kKeptShare = 0.1;     // of descriptors
+constexpr std::size_t kCarryAtLeast = 8;
 constexpr auto kWaitForSlot = std::chrono::milliseconds(300);
 
 }  // namespace
@@ -38,13 +40,17 @@
   bool taken_ = false;
 };
 
-Relay::Relay(const settings::Platform& platform)
-    : free_(std::max(8, static_cast<int>(platform.fd_limit * kCarriedShare))) {
+Relay::Relay(const settings::Platform& platform) {
   const std::size_t others = std::max<std::size_t>(1, platform.members.size());
-  const auto kept = static_cast<std::size_t>(platform.fd_limit * kKeptShare) / others;
+  const auto share = [&](double part) {
+    return static_cast<std::size_t>(platform.fd_limit * part);
+  };
+  const std::size_t served =
+      wire::connections_for({platform.fd_limit, platform.ram_mb, platform.thread_limit});
+  free_ = std::max(kCarryAtLeast, std::min(share(kCarriedShare), served / 2 / others));
   for (const settings::Member& member : platform.members) {
-    clients_[member.name] =
-        std::make_unique<wire::Client>(member.address, kept, 2 * wire::kBodyLimit);
+    clients_[member.name] = std::make_unique<wire::Client>(
+        member.address, share(kKeptShare) / others, 2 * wire::kBodyLimit);
   }
 }
 
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -34,7 +34,7 @@
   std::map<std::string, std::unique_ptr<wire::Client>> clients_;
   std::mutex mutex_;
   std::condition_variable freed_;
-  int free_;  // reports that may still be carried at the same time
+  std::size_t free_;  // reports that may still be carried at the same time
   std::map<std::string, double> cut_off_until_;
 };
 
--- a/src/wire/budget.cpp
+++ b/src/wire/budget.cpp
@@ -1,7 +1,10 @@
 #include "wire/budget.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <chrono>
+#include <system_error>
 #include <utility>
 
 namespace reachramp::wire {
@@ -15,7 +18,8 @@
 constexpr double kOfDescriptors = 0.65;
 constexpr double kOfMemory = 0.5;
 constexpr double kConnectionMb = 0.044;
-constexpr double kOwnThreads = 64;
+constexpr double kOfThreads = 0.9;
+constexpr auto kThreadsStay = 10s;
 constexpr double kLeast = 16;
 // A connection that was told to close needs its thread's turn to be gone.
 constexpr auto kWaitForLeaving = 200ms;
@@ -60,7 +64,7 @@
 std::size_t connections_for(const Means& means) {
   const double most =
       std::min({means.descriptors * kOfDescriptors, means.memory_mb * kOfMemory / kConnectionMb,
-                means.threads - kOwnThreads});
+                means.threads * kOfThreads});
   return static_cast<std::size_t>(std::max(most, kLeast));
 }
 
@@ -79,7 +83,24 @@
   return true;
 }
 
-bool Budget::admit(const Shared& connection) {
+Budget::Budget(std::size_t most) : most_(most), crew_(kThreadsStay) {}
+
+bool Budget::admit(const Shared& connection, std::function<void()> serve) {
+  if (!take(connection)) return false;
+  try {
+    crew_.run([this, connection, serve = std::move(serve)] {
+      serve();
+      leave(connection);
+    });
+  } catch (const std::system_error& error) {
+    spdlog::error("no thread for a connection: {}", error.what());
+    leave(connection);
+    return false;
+  }
+  return true;
+}
+
+bool Budget::take(const Shared& connection) {
   connection->held.silent_since_ms = now_ms();
   std::unique_lock lock(mutex_);
   if (connections_.size() >= most_) {
--- a/src/wire/budget.h
+++ b/src/wire/budget.h
@@ -11,6 +11,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "wire/crew.h"
 #include "wire/socket.h"
 
 namespace reachramp::wire {
@@ -55,13 +56,11 @@
   using Shared = std::shared_ptr<Connection>;
 
   // `most`: connections at once, those that are being closed included.
-  explicit Budget(std::size_t most) : most_(most) {}
+  explicit Budget(std::size_t most);
 
-  // Takes a connection in, if need be in another one's place. False: there is no room, it is to be
-  // closed at once.
-  bool admit(const Shared& connection);
-  // Its thread is about to end.
-  void leave(const Shared& connection);
+  // Takes a connection in, if need be in another one's place, and serves it on a thread of its own.
+  // False: there is no room, it is to be closed at once.
+  bool admit(const Shared& connection, std::function<void()> serve);
   // A request of the party has come. False: too many of the party are being answered, turn it away.
   bool begin(Connection& connection, Party party);
   void end(Connection& connection);
@@ -72,12 +71,15 @@
 
  private:
   bool close_one(Party newcomer);
+  bool take(const Shared& connection);
+  void leave(const Shared& connection);
 
   const std::size_t most_;
   mutable std::mutex mutex_;
   std::condition_variable left_;
   std::unordered_set<Shared> connections_;
   Busy busy_{};
+  Crew crew_;  // the last: it ends first
 };
 
 }  // namespace reachramp::wire
--- a/src/wire/budget_test.cpp
+++ b/src/wire/budget_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <atomic>
 #include <thread>
 
 #include "wire/http.h"
@@ -127,5 +128,24 @@
   for (auto& thread : hanging) thread.join();
 }
 
+// Threads that were on their way out came on top of those at work.
+TEST(Crew, HasNoMoreThreadsThanWork) {
+  Crew crew(10ms);
+  std::atomic<int> done{0};
+  for (int wave = 0; wave < 50; ++wave) {
+    std::atomic<int> here{0};
+    for (int i = 0; i < 8; ++i) {
+      crew.run([&] {
+        ++here;
+        while (here < 8) std::this_thread::yield();
+        ++done;
+      });
+      EXPECT_LE(crew.threads(), 16u);
+    }
+    while (done < (wave + 1) * 8) std::this_thread::yield();
+  }
+  EXPECT_EQ(done, 400);
+}
+
 }  // namespace
 }  // namespace reachramp::wire
--- /dev/null
+++ b/src/wire/crew.h
@@ -0,0 +1,41 @@
+// Threads that serve connections: one a connection, used again for the next. Made and ended with
+// each connection, threads on their way out came on top of those at work, and a storm of
+// connections met the limit of the process (found with 2,500 machines and a leader that died).
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace reachramp::wire {
+
+class Crew {
+ public:
+  using Work = std::function<void()>;
+
+  explicit Crew(std::chrono::milliseconds idle_for) : idle_for_(idle_for) {}
+  // Waits until all work is done and all threads are gone.
+  ~Crew();
+  Crew(const Crew&) = delete;
+
+  // Never more threads than pieces of work at the same time. Throws std::system_error if there is
+  // no thread to be had.
+  void run(Work work);
+  std::size_t threads() const;
+
+ private:
+  void serve();
+
+  const std::chrono::milliseconds idle_for_;
+  mutable std::mutex mutex_;
+  std::condition_variable ready_;
+  std::condition_variable gone_;
+  std::deque<Work> waiting_;
+  std::size_t idle_ = 0;
+  std::size_t threads_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace reachramp::wire
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -70,19 +70,12 @@
     connection->socket.set_limit(kIdleLimit);
     connection->door = this;
     connection->held.party = newcomers_;
-    if (!budget_.admit(connection)) continue;  // which closes it
     ++serving_;
-    try {
-      std::thread([this, connection] {
-        serve(connection);
-        budget_.leave(connection);
-        --serving_;
-      }).detach();
-    } catch (const std::system_error& error) {
-      spdlog::error("no thread for a connection: {}", error.what());
-      budget_.leave(connection);
+    const bool admitted = budget_.admit(connection, [this, connection] {
+      serve(connection);
       --serving_;
-    }
+    });
+    if (!admitted) --serving_;  // and it is closed
   }
 }
 
