--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -3,14 +3,12 @@
 #include <algorithm>
 #include <cmath>
 
-#include "placement/order.h"
-#include "placement/plan.h"
+#include "acquire/demand.h"
 
 namespace reachramp::acquire {
 
 using placement::Host;
 using placement::HostPhase;
-using placement::Job;
 using placement::kNone;
 using placement::Resources;
 
@@ -21,93 +19,23 @@
 constexpr int kMostRefusals = 3;
 // Reclaims are forgotten over this many horizons.
 constexpr double kMemoryHorizons = 30;
-// A machine that has not come up after this many boot times is not counted on any more.
-constexpr double kLateBoot = 2;
 constexpr double kLeastCharge_s = 60;
-// Owners' estimates are often wrong by half.
-constexpr double kEstimateMargin = 1.5;
 // Work that comes while a machine is idle saves a boot. Measured on four days: 20 s and 3 s cost
 // more.
 constexpr double kIdleKeep_s = 8;
-// Late work is worth ordinary machines only as far as cheap ones would take longer than this.
-constexpr double kLateHorizons = 4;
-// Aims count jobs, and a large one costs as much as many small ones: an array that would need more
-// than this share of the fleet makes do with cheap machines.
-constexpr double kLargestShare = 0.5;
 
 double price_per_hour(const cloud::MachineType& type, bool spot) {
   return spot ? type.spot_price : type.price;
 }
 
-int copies_in(const cloud::MachineType& type, const Resources& need) {
-  return static_cast<int>(Resources{type.cpus, type.gpus, type.ram_gb}.copies(need));
-}
-
 Amounts amounts(const Resources& need, int slots) {
   return {need.cpus * slots, need.gpus * slots, need.ram_gb * slots};
 }
 
-// A machine that work can be expected to run on.
-bool counts(const Cluster& cluster, const Host& host, double now) {
-  const auto* type = cluster.type_of(host);
-  if (type == nullptr || host.draining || host.phase == HostPhase::leaving ||
-      host.faults >= placement::kTooManyFaults) {
-    return false;
-  }
-  return host.phase == HostPhase::up || host.runs ||
-         now - host.rented_at < kLateBoot * type->boot_s;
-}
-
-// Cores of the machines at hand that may run the job.
-double fleet_cores(const Cluster& cluster, const Job& job, double now) {
-  double cores = 0;
-  for (const auto& host : cluster.hosts) {
-    if (host && counts(cluster, *host, now) && placement::allows(cluster, job, *host)) {
-      cores += cluster.type_of(*host)->cpus;
-    }
-  }
-  return cores;
-}
-
-double quickest_boot(const Cluster& cluster, const Job& job) {
-  double boot_s = placement::kNever;
-  for (Index type = 0; type < job.fits.size(); ++type) {
-    if (job.fits[type]) boot_s = std::min(boot_s, cluster.kind(type)->boot_s);
-  }
-  return boot_s;
-}
-
-// Every pool in the zone (kNone: in any) whose machines the job may run on.
-template <class Use>
-void each_pool(const Cluster& cluster, const Job& job, Index only, Use use) {
-  for (Index type = 0; type < job.fits.size(); ++type) {
-    if (!job.fits[type]) continue;
-    for (const std::string& name : cluster.kind(type)->zones) {
-      const Index zone = cluster.zones.find(name);
-      if (only != kNone && only != zone) continue;
-      if (job.spec.spot) use(Pool{type, zone, true});
-      use(Pool{type, zone, false});
-    }
-  }
-}
-
-// How many tasks of an array should run side by side: all of them where the time is short, fewer
-// where several rounds on the same machines still end in time.
-double side_by_side(const Job& job, double tasks, double boot_s, double now) {
-  const double start_by = job.next_start_by(now + boot_s);
-  if (job.spec.shape != jobs::Shape::array || start_by == placement::kNever) return tasks;
-  const double round_s = std::max(1.0, job.spec.estimate_s * kEstimateMargin);
-  const double rounds = (start_by - now - boot_s) / round_s + 1;
-  return std::min(tasks,
-                  std::max(std::ceil(tasks / rounds), static_cast<double>(job.attempts.size())));
-}
-
 }  // namespace
 
 Buyer::Buyer(const settings::Policy& policy) : policy_(policy) {}
 
-Amounts Group::goal() const { return {need.cpus * tasks, need.gpus * tasks, need.ram_gb * tasks}; }
-
 void Buyer::note_prices(const Cluster& cluster, double now) {
   for (const auto& type : cluster.catalog) {
     for (const auto& zone : type.zones) {
@@ -174,143 +102,6 @@
   return book == books_.end() || (book->second.asked == 0 && now >= book->second.refused_until);
 }
 
-// Which zone each job that must share one gets. Machines of several zones together do not help such
-// a job, however many they are, and those that one job will use do not help the next: looked at one
-// by one, all gangs found the same zone large enough, and two thirds of the machines that a grown
-// site had for them were never asked for.
-class ZoneChoice {
- public:
-  ZoneChoice(const Buyer& buyer, const Cluster& cluster, double now)
-      : buyer_(buyer), cluster_(cluster), now_(now) {
-    for (const auto& host : cluster.hosts) {
-      if (host && counts(cluster, *host, now)) ++spare_[{host->type, host->zone, host->spot}];
-    }
-  }
-
-  // kNone: any zone, or none that helps.
-  Index choose(const Job& job) {
-    if (!job.spec.one_zone || job.spec.tasks == 1) return job.zone;
-    Index zone = job.zone;
-    if (zone == kNone && !job.attempts.empty()) {
-      zone = cluster_.hosts[job.attempts.begin()->second.host]->zone;
-    }
-    if (zone == kNone) zone = best_for(job);
-    if (zone != kNone) claim(job, zone);
-    return zone;
-  }
-
- private:
-  // Where it could start at once, before where machines must come first.
-  Index best_for(const Job& job) const {
-    Index best = kNone;
-    std::pair<bool, int> most;
-    for (Index zone = 0; zone < cluster_.zones.size(); ++zone) {
-      const auto [slots, may_grow] = look_at(job, zone);
-      const bool enough = slots >= static_cast<int>(job.spec.tasks);
-      if (!enough && !may_grow) continue;
-      if (best == kNone || std::pair(enough, slots) > most) {
-        best = zone;
-        most = {enough, slots};
-      }
-    }
-    return best;
-  }
-
-  std::pair<int, bool> look_at(const Job& job, Index zone) const {
-    int slots = 0;
-    bool may_grow = false;
-    each_pool(cluster_, job, zone, [&](const Pool& pool) {
-      const auto at = spare_.find(pool);
-      if (at != spare_.end()) slots += at->second * copies(pool, job);
-      may_grow = may_grow || buyer_.may_ask(pool, now_);
-    });
-    return {slots, may_grow};
-  }
-
-  void claim(const Job& job, Index zone) {
-    int left = static_cast<int>(job.spec.tasks);
-    each_pool(cluster_, job, zone, [&](const Pool& pool) {
-      const auto at = spare_.find(pool);
-      if (at == spare_.end() || left <= 0) return;
-      const int each = copies(pool, job);
-      const int taken = std::min(at->second, (left + each - 1) / each);
-      at->second -= taken;
-      left -= taken * each;
-    });
-  }
-
-  int copies(const Pool& pool, const Job& job) const {
-    return copies_in(*cluster_.kind(pool.type), job.need);
-  }
-
-  const Buyer& buyer_;
-  const Cluster& cluster_;
-  double now_;
-  std::map<Pool, int> spare_;
-};
-
-std::vector<Group> Buyer::demand(const Cluster& cluster, double now, Waiting waiting) const {
-  std::map<std::vector<Pool>, Group> by_pools;
-  std::vector<placement::Usage> claimed(cluster.used.size());
-  ZoneChoice zones(*this, cluster, now);
-  std::vector<Index> order = placement::service_order(cluster, now).order;
-  for (Index index = 0; index < cluster.jobs.size() && waiting == Waiting::counts; ++index) {
-    const auto& job = cluster.jobs[index];
-    if (job && !job->cancelled && job->team != kNone && job->waits() &&
-        job->free_by <= now + quickest_boot(cluster, *job)) {
-      order.push_back(index);
-    }
-  }
-  for (const Index index : order) {
-    const Job& job = *cluster.jobs[index];
-    if (now < job.not_before) continue;
-    const settings::Team& team = cluster.platform.teams[job.team];
-    double tasks = job.spec.tasks - job.done_count;
-    const auto cap = [&](double limit, double used, double need) {
-      if (limit > 0 && need > 0) tasks = std::min(tasks, std::floor((limit - used) / need + 1e-6));
-    };
-    cap(team.cpus_max, claimed[job.team].cpus, job.need.cpus);
-    cap(team.gpus_max, claimed[job.team].gpus, job.need.gpus);
-    if (tasks <= 0) continue;
-    claimed[job.team].cpus += tasks * job.need.cpus;
-    claimed[job.team].gpus += tasks * job.need.gpus;
-    std::vector<Pool> pools;
-    each_pool(cluster, job, zones.choose(job), [&](const Pool& pool) {
-      if (!cluster.is_kept_from(job, pool.type, pool.spot)) pools.push_back(pool);
-    });
-    if (pools.empty()) continue;
-    const double boot_s = quickest_boot(cluster, job);
-    const double parallel = side_by_side(job, tasks, boot_s, now);
-    Group& group = by_pools[pools];
-    group.pools = pools;
-    group.need += job.need.times(parallel);
-    group.tasks += parallel;
-    // An ordinary machine is worth its full price to work that it can still bring in time, unless
-    // that takes too much of the fleet, and to other work only as far as the cheap ones would take
-    // too long.
-    const bool in_time =
-        job.start_by.empty() ||
-        (job.next_start_by(now + boot_s) != placement::kNever &&
-         (job.spec.shape != jobs::Shape::array ||
-          parallel * job.need.cpus <= kLargestShare * fleet_cores(cluster, job, now)));
-    const double soon =
-        std::ceil(tasks * job.spec.estimate_s / (kLateHorizons * policy_.horizon_s));
-    group.ordinary_tasks += !job.spec.spot || in_time
-                                ? parallel
-                                : std::min(parallel, std::max<double>(soon, job.attempts.size()));
-  }
-  std::vector<Group> found;
-  for (auto& [pools, group] : by_pools) {
-    group.need = group.need.times(1 / group.tasks);
-    group.rho = correlations(pools);
-    found.push_back(std::move(group));
-  }
-  // The most particular work claims its machines first.
-  std::stable_sort(found.begin(), found.end(),
-                   [](const Group& a, const Group& b) { return a.pools.size() < b.pools.size(); });
-  return found;
-}
-
 void Buyer::cover(const Cluster& cluster, double now, const std::vector<bool>& without,
                   std::vector<Group>& groups) const {
   struct Room {
--- /dev/null
+++ b/src/acquire/demand.h
@@ -0,0 +1,14 @@
+// What both sides of renting look at: machines that count, and how many tasks they hold.
+#pragma once
+
+#include "placement/cluster.h"
+
+namespace reachramp::acquire {
+
+// A machine that work can be expected to run on.
+bool counts(const placement::Cluster& cluster, const placement::Host& host, double now);
+
+// Tasks of that size on an empty machine.
+int copies_in(const cloud::MachineType& type, const placement::Resources& need);
+
+}  // namespace reachramp::acquire
--- /dev/null
+++ b/src/controller/leader_fleet.cpp
@@ -0,0 +1,233 @@
+// The leader and its machines: what the cloud tells of them, what is rented and what goes back.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <set>
+
+#include "controller/leader.h"
+#include "pipelines/needs.h"
+
+namespace reachramp::controller {
+
+using placement::Host;
+using placement::HostPhase;
+using placement::kNone;
+using placement::Pool;
+
+namespace {
+
+constexpr double kNeverBoots = 4;  // boot times
+constexpr double kTombstoneFor = 300;
+constexpr double kCutLasts = 4;  // times the silence that is held against a single machine
+
+}  // namespace
+
+std::string Leader::pool_key(const Pool& pool) const {
+  return "pool/" + cluster_.types[pool.type] + "/" + cluster_.zones[pool.zone] + "/" +
+         (pool.spot ? "spot" : "ordinary");
+}
+
+void Leader::on_catalog(const cloud::Catalog& catalog, double now) {
+  const auto frame = [](cloud::Catalog types) {
+    for (auto& type : types) type.spot_price = 0;
+    return cloud::encode_catalog(types);
+  };
+  if (cluster_.catalog.empty() || frame(catalog) != frame(cluster_.catalog)) {
+    // Where it is too long, each node reads it from the cloud.
+    const state::Json value = cloud::encode_catalog(catalog);
+    if (state::fits(value, platform_.lasting().value_kb)) ledger_.write({kCatalogKey, value});
+    rebuy_ = replan_ = true;
+  }
+  cluster_.set_catalog(catalog);
+  buyer_.note_prices(cluster_, now);
+}
+
+void Leader::gone(const std::string& name, double now) {
+  const auto at = cluster_.host_index.find(name);
+  tombstones_[name] = now;
+  if (at == cluster_.host_index.end()) return;
+  cluster_.remove_host(at->second, now);
+  replan_ = rebuy_ = look_at_parked_ = true;
+}
+
+void Leader::on_list(const std::vector<cloud::Listed>& listed, double asked_at, double now) {
+  listed_ = true;
+  const double lag = platform_.cloud_limits.list_lag_s;
+  std::set<std::string> names;
+  std::vector<std::string> failed;
+  for (const cloud::Listed& machine : listed) {
+    names.insert(machine.name);
+    const auto tomb = tombstones_.find(machine.name);
+    if (tomb != tombstones_.end()) {
+      // Still listed long after its return: it is not what we returned, or it came back.
+      if (asked_at - tomb->second > 3 * lag + 5) {
+        failed.push_back(machine.name);
+        tomb->second = now;
+      }
+      continue;
+    }
+    const bool fresh = !cluster_.host_index.contains(machine.name);
+    const Index index = cluster_.add_host(machine.name, now);
+    cluster_.describe_host(index, machine.type, machine.zone, machine.spot);
+    Host& host = *cluster_.hosts[index];
+    // Whoever learnt of the machine from a report or a record does not know its age.
+    host.rented_at = std::min(host.rented_at, now - machine.held_s);
+    host.runs = machine.phase == cloud::MachinePhase::running;
+    if (fresh) rebuy_ = true;
+    if (!machine.address.empty()) host.address = machine.address;
+    if (!host.ours && !host.address.empty() && machine.phase == cloud::MachinePhase::running &&
+        fresh) {
+      out_.greet.push_back(host.address);
+    }
+    if (machine.phase == cloud::MachinePhase::failed) failed.push_back(machine.name);
+  }
+  for (const std::string& name : failed) {
+    spdlog::info("machine {} has failed", name);
+    gone(name, now);
+    out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {name}});
+  }
+
+  // A list describes a moment at most twice the lag ago. A machine that was there before that
+  // moment and is not listed is gone.
+  std::vector<std::string> missing;
+  for (const auto& host : cluster_.hosts) {
+    if (host && !names.contains(host->name) && host->known_at < asked_at - 2 * lag - 1) {
+      missing.push_back(host->name);
+    }
+  }
+  for (const std::string& name : missing) {
+    const Host& host = *cluster_.host(name);
+    spdlog::info("machine {} is gone", name);
+    if (host.spot && host.type != kNone && host.phase != HostPhase::leaving) {
+      buyer_.note_reclaim(cluster_, {host.type, host.zone, true});
+    }
+    gone(name, now);
+  }
+}
+
+void Leader::on_hired(const cloud::Hire& hire, const cloud::Hired& hired, double now) {
+  const Pool pool{cluster_.types.add(hire.type), cluster_.zones.add(hire.zone), hire.spot};
+  buyer_.note_answered(pool);
+  const double asked_at = asked_at_.contains(hire.name) ? asked_at_[hire.name] : now;
+  asked_at_.erase(hire.name);
+  for (const std::string& name : hired.machines) {
+    if (tombstones_.contains(name)) continue;
+    const Index index = cluster_.add_host(name, now);
+    cluster_.describe_host(index, hire.type, hire.zone, hire.spot);
+    cluster_.hosts[index]->rented_at = asked_at;
+  }
+  if (static_cast<int>(hired.machines.size()) < hire.count) {
+    buyer_.note_refused(pool, now);
+  } else {
+    buyer_.note_filled(pool);
+  }
+  spdlog::info("hire {}: {} of {} {} {} in {}", hire.name, hired.machines.size(), hire.count,
+               hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
+  ledger_.write({pool_key(pool), state::Json{{"open", false}}});
+  rebuy_ = replan_ = true;
+}
+
+void Leader::on_returned(const std::vector<std::string>& machines, double now) {
+  for (const std::string& name : machines) gone(name, now);
+}
+
+void Leader::give_back(Index index, const char* why) {
+  Host& host = *cluster_.hosts[index];
+  if (host.phase == HostPhase::leaving) return;
+  spdlog::info("machine {} goes back: {}", host.name, why);
+  host.phase = HostPhase::leaving;
+  out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}});
+}
+
+// How long a change of leaders took, as the workers see it: until all that run have been heard, or
+// a lease has gone by.
+void Leader::tell_heard(double now) {
+  if (told_heard_ || !listed_) return;
+  std::size_t running = 0, unheard = 0;
+  for (const auto& host : cluster_.hosts) {
+    if (!host || !host->runs || host->known_at > since_ + platform_.cloud_limits.list_lag_s)
+      continue;
+    ++running;
+    unheard += host->ours ? 0 : 1;
+  }
+  const double passed = now - since_;
+  if (half_heard_s_ < 0 && unheard * 2 <= running) half_heard_s_ = passed;
+  if (most_heard_s_ < 0 && unheard * 100 <= running) most_heard_s_ = passed;
+  if (unheard > 0 && passed < platform_.workers.lease_s) return;
+  told_heard_ = true;
+  if (running == 0) return;
+  const auto within = [](double seconds) {
+    return seconds < 0 ? std::string("not yet") : fmt::format("{:.1f} s", seconds);
+  };
+  spdlog::info(
+      "{} of {} running machines heard {:.1f} s after taking over; half: {}, 99 of 100: {}",
+      running - unheard, running, passed, within(half_heard_s_), within(most_heard_s_));
+}
+
+void Leader::upkeep(double now) {
+  tell_heard(now);
+  const double silent = platform_.workers.lease_s * 1.1;
+  const auto is_silent = [&](const Host& host) {
+    return host.phase == HostPhase::up && now - std::max(host.heard_at, since_) > silent;
+  };
+  int up = 0, quiet = 0;
+  for (const auto& host : cluster_.hosts) {
+    if (!host || host->phase != HostPhase::up) continue;
+    ++up;
+    quiet += is_silent(*host) ? 1 : 0;
+  }
+  // Silence of one machine is its own. When many fall silent together a cut is likelier, and they
+  // work on behind it: one recorded day lost half the fleet to a leader that sent them all back.
+  const bool cut = quiet > 1 && quiet * 3 > up;
+  for (Index i = 0; i < cluster_.hosts.size(); ++i) {
+    Host* host = cluster_.hosts[i].get();
+    if (host == nullptr || host->phase == HostPhase::leaving) continue;
+    const auto* type = cluster_.type_of(*host);
+    if (host->phase == HostPhase::booting) {
+      const double patience = kNeverBoots * (type == nullptr ? 60 : type->boot_s);
+      if (now - std::max(host->rented_at, since_ - patience / 2) > patience) {
+        give_back(i, "it does not come up");
+      }
+      continue;
+    }
+    if (is_silent(*host) && (!cut || now - std::max(host->heard_at, since_) > kCutLasts * silent)) {
+      give_back(i, "it is silent");
+    } else if (host->draining && host->reclaim_at == placement::kNever && host->attempts.empty()) {
+      give_back(i, "it does not work");
+    }
+  }
+  for (auto at = tombstones_.begin(); at != tombstones_.end();) {
+    at = now - at->second > kTombstoneFor ? tombstones_.erase(at) : std::next(at);
+  }
+}
+
+void Leader::buy(double now) {
+  if (cluster_.catalog.empty()) return;
+  buyer_.note_exposure(cluster_, now);
+  pipelines::foresee(cluster_, now);
+  for (const Index index : buyer_.surplus(cluster_, now)) {
+    give_back(index, "it is not needed");
+  }
+  for (const acquire::Wish& wish : buyer_.wishes(cluster_, now)) {
+    cloud::Hire hire;
+    hire.name = "r-" + std::to_string(cluster_.baton) + "-" + std::to_string(++hires_);
+    hire.type = cluster_.types[wish.pool.type];
+    hire.zone = cluster_.zones[wish.pool.zone];
+    hire.spot = wish.pool.spot;
+    hire.count = wish.machines;
+    buyer_.note_asked(wish.pool, wish.machines);
+    spdlog::info("hire {}: asking for {} {} {} in {}", hire.name, hire.count,
+                 hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
+    const std::string key = pool_key(wish.pool);
+    ledger_.write({key, state::Json{{"open", true},
+                                    {"name", hire.name},
+                                    {"type", hire.type},
+                                    {"zone", hire.zone},
+                                    {"spot", hire.spot},
+                                    {"count", hire.count}}});
+    asked_at_[hire.name] = now;
+    to_hire_.emplace_back(key, hire);
+  }
+}
+
+}  // namespace reachramp::controller
