The lab's model of the state service, one for tests, loopback servers and simulations

Need: operators and newcomers have nothing that speaks the state service's protocol, and the tests had two halves of one (store.cpp, StateStandIn) without rates, pages, the 10,000-change window, 410, late expiry or outages. Change: lab/model/state_service, pure (requests and time in, replies out), and lab/loopback/state_server, one door a node; the simulated cluster and the end-to-end test run on it, the old stand-ins are gone.

--- /dev/null
+++ b/lab/loopback/state_server.h
@@ -0,0 +1,54 @@
+// The state service's model behind loopback ports: one door for each node, so that troubles can be
+// one node's own.
+#pragma once
+
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "model/state_service.h"
+#include "wire/http.h"
+
+namespace reachramp::lab {
+
+class StateServer {
+ public:
+  StateServer(const settings::StateLimits& limits, std::uint64_t seed);
+  ~StateServer();
+  StateServer(const StateServer&) = delete;
+
+  // Throws std::system_error if the port cannot be had.
+  void open(const std::string& node, std::uint16_t port);
+
+  // Something done to the model, or asked of it, while nothing else is.
+  template <class Use>
+  auto with(Use use) {
+    const std::lock_guard lock(mutex_);
+    struct Woken {
+      std::condition_variable& changed;
+      ~Woken() { changed.notify_one(); }
+    } woken{changed_};
+    return use(model_);
+  }
+
+ private:
+  wire::Reply serve(const std::string& node, const wire::Request& request);
+  void keep_time();
+  void tell(double now);
+
+  static constexpr std::size_t kMostConnections = 4000;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  StateService model_;
+  std::map<std::uint64_t, std::promise<wire::Reply>> watches_;
+  bool stopping_ = false;
+  wire::Budget budget_{kMostConnections};
+  std::vector<std::unique_ptr<wire::Server>> doors_;
+  std::thread clock_;
+};
+
+}  // namespace reachramp::lab
--- /dev/null
+++ b/lab/model/state_service.cpp
@@ -0,0 +1,368 @@
+#include "model/state_service.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+
+namespace reachramp::lab {
+
+using state::Json;
+using state::Outcome;
+using wire::Reply;
+using wire::Request;
+
+namespace {
+
+// All from PROTOCOL.
+constexpr std::size_t kLogLength = 10000;
+constexpr std::size_t kMostEntries = 1000;
+constexpr std::size_t kMostListBytes = 512 * 1024;
+constexpr std::size_t kMostTransactionBytes = 64 * 1024;
+constexpr std::size_t kLongestKey = 200;
+constexpr std::size_t kConditionsPerOp = 4;
+constexpr double kLatestExpiry_s = 0.1;
+constexpr std::uint64_t kLeastLife_ms = 100;
+constexpr std::uint64_t kMostLife_ms = 600000;
+constexpr std::uint64_t kMostHold_ms = 60000;
+
+Reply malformed(const std::string& why) { return {400, {{"error", why}}}; }
+
+bool is_key(const std::string& key) {
+  return !key.empty() && key.size() <= kLongestKey && key.find(' ') == std::string::npos;
+}
+
+std::string parameter(const std::string& query, const std::string& name) {
+  const std::string padded = "&" + query;
+  const auto at = padded.find("&" + name + "=");
+  if (at == std::string::npos) return "";
+  const auto begin = at + name.size() + 2;
+  return padded.substr(begin, padded.find('&', begin) - begin);
+}
+
+std::uint64_t number(const std::string& text, const char* field) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stop != end)
+    throw wire::BadMessage(std::string(field) + ": no count");
+  return value;
+}
+
+std::uint64_t number_or(const std::string& text, const char* field, std::uint64_t otherwise) {
+  return text.empty() ? otherwise : number(text, field);
+}
+
+std::string key_of(const Json& item, const char* field) {
+  const std::string key = wire::text(item, field);
+  if (!is_key(key)) throw wire::BadMessage(std::string(field) + ": not a key");
+  return key;
+}
+
+// A list that may be left out; its items are maps.
+const Json& items_of(const Json& body, const char* field) {
+  static const Json none = Json::array();
+  if (wire::find(body, field) == nullptr) return none;
+  const Json& list = wire::list(body, field);
+  for (const Json& item : list) {
+    if (!item.is_object()) throw wire::BadMessage(std::string(field) + ": not maps");
+  }
+  return list;
+}
+
+state::Transaction decode(const Json& body) {
+  state::Transaction transaction;
+  for (const Json& item : items_of(body, "if")) {
+    transaction.conditions.emplace_back(key_of(item, "k"), wire::count(item, "stamp"));
+  }
+  for (const Json& item : items_of(body, "then")) {
+    if (wire::find(item, "remove") != nullptr) {
+      transaction.writes.push_back({key_of(item, "remove"), std::nullopt, std::nullopt});
+      continue;
+    }
+    state::Write write{key_of(item, "write"), wire::need(item, "value"), std::nullopt};
+    if (wire::find(item, "permit") != nullptr) write.permit = wire::count(item, "permit");
+    transaction.writes.push_back(std::move(write));
+  }
+  return transaction;
+}
+
+}  // namespace
+
+StateService::StateService(const settings::StateLimits& limits, std::uint64_t seed)
+    : limits_(limits),
+      requests_(limits.rps, limits.rps),
+      writes_(limits.write_rps, limits.write_rps),
+      random_(seed) {}
+
+void StateService::limit(const settings::StateLimits& limits) {
+  if (limits.rps != limits_.rps) requests_ = state::Bucket(limits.rps, limits.rps);
+  if (limits.write_rps != limits_.write_rps) {
+    writes_ = state::Bucket(limits.write_rps, limits.write_rps);
+  }
+  limits_ = limits;
+}
+
+void StateService::go_on(double now) {
+  if (!stopped_at_) return;
+  stopped_at_.reset();
+  for (auto& [id, permit] : permits_) permit.ends_at = end_of(permit, now);
+}
+
+void StateService::refuse(const std::string& node, bool yes) { refused_[node] = yes; }
+
+void StateService::restore(Backup backup) {
+  items_ = std::move(backup.items);
+  epoch_ = backup.epoch;
+  log_ = std::move(backup.log);
+  forgotten_ = log_.empty() ? epoch_ : log_.front().stamp - 1;
+  // Permits are of the service's own memory: those that hold nothing any more just run out.
+  for (auto& [key, item] : items_) {
+    if (item.permit != 0 && !permits_.contains(item.permit)) item.permit = 0;
+  }
+}
+
+// Late by up to a tenth of a second, never early.
+double StateService::end_of(const Permit& permit, double now) {
+  return now + permit.life_s + std::uniform_real_distribution<double>(0, kLatestExpiry_s)(random_);
+}
+
+std::variant<Reply, StateService::Watching> StateService::ask(const std::string& from,
+                                                              const Request& request, double now) {
+  const auto refused = refused_.find(from);
+  if (stopped_at_ || (refused != refused_.end() && refused->second)) {
+    return Reply{503, {{"error", "trouble"}}};
+  }
+  if (requests_.take(1, now) > 0) return Reply{429, {{"error", "too many requests"}}};
+  try {
+    const bool get = request.method == "GET";
+    if (get && request.path.starts_with("/keys/")) return read(request.path.substr(6));
+    if (get && request.path == "/keys") return read_many(request);
+    if (get && request.path == "/follow") return follow(request, now);
+    if (request.method == "POST" && request.path == "/multi") return multi(request, now);
+    if (!get && (request.path + "/").starts_with("/holds/")) return permits(request, now);
+  } catch (const wire::BadMessage& bad) {
+    return malformed(bad.what());
+  }
+  return malformed("no such request");
+}
+
+Reply StateService::read(const std::string& key) const {
+  if (!is_key(key)) return malformed("not a key");
+  const auto at = items_.find(key);
+  if (at == items_.end()) return {404, {{"epoch", epoch_}}};
+  Reply reply{200, {{"k", key}, {"value", at->second.value}, {"stamp", at->second.stamp}}};
+  if (at->second.permit != 0) reply.body["permit"] = at->second.permit;
+  return reply;
+}
+
+Reply StateService::read_many(const Request& request) const {
+  const std::string prefix = parameter(request.query, "starts");
+  const std::string after = parameter(request.query, "after");
+  const auto most = std::min<std::uint64_t>(
+      number_or(parameter(request.query, "limit"), "limit", kMostEntries), kMostEntries);
+  auto at =
+      after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(std::max(after, prefix));
+  if (!after.empty() && after < prefix) at = items_.lower_bound(prefix);
+  Json entries = Json::array();
+  std::size_t bytes = 0;
+  const auto more = [&] { return at != items_.end() && at->first.starts_with(prefix); };
+  for (; more() && entries.size() < most; ++at) {
+    Json entry{{"k", at->first}, {"value", at->second.value}, {"stamp", at->second.stamp}};
+    bytes += wire::json_size(entry);
+    if (bytes > kMostListBytes && !entries.empty()) break;
+    entries.push_back(std::move(entry));
+  }
+  return {200, {{"entries", std::move(entries)}, {"truncated", more()}, {"epoch", epoch_}}};
+}
+
+Reply StateService::multi(const Request& request, double now) {
+  const Json body = wire::decode_map(request.body);
+  if (wire::json_size(body) > kMostTransactionBytes) return malformed("too large");
+  const state::Transaction transaction = decode(body);
+  if (too_large(transaction)) return malformed("too large");
+  // Transactions whose conditions fail are counted as well.
+  const auto writes = static_cast<double>(transaction.writes.size());
+  if (writes > 0 && writes_.take(writes, now) > 0) return {429, {{"error", "too many changes"}}};
+  const state::Committed committed = commit(transaction);
+  switch (committed.outcome) {
+    case Outcome::ok:
+      return {200, {{"epoch", committed.epoch}}};
+    case Outcome::conflict:
+      return {409, {{"failed", committed.failed}, {"epoch", committed.epoch}}};
+    default:
+      return malformed("no such lease");
+  }
+}
+
+bool StateService::too_large(const state::Transaction& transaction) const {
+  const auto ops = static_cast<std::size_t>(limits_.txn_ops);
+  return transaction.writes.size() > ops ||
+         transaction.conditions.size() > kConditionsPerOp * ops ||
+         std::any_of(transaction.writes.begin(), transaction.writes.end(), [&](const auto& write) {
+           return write.value && !state::fits(*write.value, limits_.value_kb);
+         });
+}
+
+state::Committed StateService::commit(const state::Transaction& transaction) {
+  state::Committed result;
+  result.epoch = epoch_;
+  result.outcome = Outcome::bad;
+  if (too_large(transaction)) return result;
+  for (const state::Write& write : transaction.writes) {
+    if (write.permit && !permits_.contains(*write.permit)) {
+      result.outcome = Outcome::no_permit;
+      return result;
+    }
+  }
+  for (const auto& [key, stamp] : transaction.conditions) {
+    const auto at = items_.find(key);
+    if ((at == items_.end() ? 0 : at->second.stamp) != stamp) result.failed.push_back(key);
+  }
+  if (!result.failed.empty()) {
+    result.outcome = Outcome::conflict;
+    return result;
+  }
+  if (!transaction.writes.empty()) ++epoch_;
+  for (const state::Write& write : transaction.writes) {
+    if (write.value) {
+      items_[write.key] = {*write.value, epoch_, write.permit.value_or(0)};
+      remember({write.key, write.value, epoch_});
+    } else {
+      erase(write.key);
+    }
+  }
+  result.outcome = Outcome::ok;
+  result.epoch = epoch_;
+  return result;
+}
+
+void StateService::erase(const std::string& key) {
+  if (items_.erase(key) > 0) remember({key, std::nullopt, epoch_});
+}
+
+void StateService::remember(state::Change change) {
+  log_.push_back(std::move(change));
+  if (log_.size() <= kLogLength) return;
+  forgotten_ = log_.front().stamp;
+  log_.pop_front();
+}
+
+std::vector<state::Entry> StateService::list(const std::string& prefix) const {
+  std::vector<state::Entry> found;
+  for (auto at = items_.lower_bound(prefix); at != items_.end() && at->first.starts_with(prefix);
+       ++at) {
+    found.push_back({at->first, at->second.value, at->second.stamp});
+  }
+  return found;
+}
+
+std::optional<std::vector<state::Change>> StateService::changes(const std::string& prefix,
+                                                                std::uint64_t after) const {
+  if (after < forgotten_) return std::nullopt;
+  std::vector<state::Change> found;
+  const auto from = std::partition_point(log_.begin(), log_.end(),
+                                         [&](const auto& change) { return change.stamp <= after; });
+  std::copy_if(from, log_.end(), std::back_inserter(found),
+               [&](const auto& change) { return change.key.starts_with(prefix); });
+  return found;
+}
+
+std::uint64_t StateService::hold(double life_s, double now) {
+  Permit permit{life_s, 0};
+  permit.ends_at = end_of(permit, now);
+  permits_[++last_permit_] = permit;
+  return last_permit_;
+}
+
+void StateService::release(std::uint64_t permit) {
+  if (permits_.erase(permit) == 0) return;
+  std::vector<std::string> attached;
+  for (const auto& [key, item] : items_) {
+    if (item.permit == permit) attached.push_back(key);
+  }
+  if (!attached.empty()) ++epoch_;
+  for (const std::string& key : attached) erase(key);
+}
+
+Reply StateService::permits(const Request& request, double now) {
+  if (request.path == "/holds") {
+    if (request.method != "POST") return malformed("no such request");
+    const std::uint64_t life = wire::count(wire::decode_map(request.body), "life_ms");
+    if (life < kLeastLife_ms || life > kMostLife_ms) return malformed("life_ms: out of range");
+    return {200, {{"permit", hold(static_cast<double>(life) / 1000, now)}}};
+  }
+  std::string id = request.path.substr(std::string("/holds/").size());
+  static const std::string renew = "/renew";
+  const bool renews = request.method == "POST" && id.ends_with(renew);
+  if (renews) id.resize(id.size() - renew.size());
+  if (!renews && request.method != "DELETE") return malformed("no such request");
+  const auto at = permits_.find(number(id, "permit"));
+  // One that is over is gone, also if its keys are not removed yet.
+  if (at == permits_.end()) return {404, Json::object()};
+  if (renews) {
+    at->second.ends_at = end_of(at->second, now);
+  } else {
+    release(at->first);
+  }
+  return {200, Json::object()};
+}
+
+std::variant<Reply, StateService::Watching> StateService::follow(const Request& request,
+                                                                 double now) {
+  const std::uint64_t hold = number_or(parameter(request.query, "hold_ms"), "hold_ms", 0);
+  if (hold > kMostHold_ms) return malformed("hold_ms: out of range");
+  const Watch watch{parameter(request.query, "starts"),
+                    number_or(parameter(request.query, "after"), "after", 0),
+                    now + static_cast<double>(hold) / 1000};
+  const auto found = changes(watch.prefix, watch.after);
+  if (!found) return Reply{410, {{"epoch", epoch_}}};
+  if (!found->empty() || hold == 0) return watched(watch);
+  watches_[++last_watch_] = watch;
+  return Watching{last_watch_};
+}
+
+Reply StateService::watched(const Watch& watch) const {
+  const auto found = changes(watch.prefix, watch.after);
+  if (!found) return {410, {{"epoch", epoch_}}};
+  Json log = Json::array();
+  for (const state::Change& change : *found) {
+    if (change.value) {
+      log.push_back({{"write", change.key}, {"value", *change.value}, {"stamp", change.stamp}});
+    } else {
+      log.push_back({{"remove", change.key}, {"stamp", change.stamp}});
+    }
+  }
+  return {200, {{"epoch", epoch_}, {"log", std::move(log)}}};
+}
+
+// During an outage permits do not end, and open watches stay open.
+std::vector<StateService::Told> StateService::pass(double now) {
+  std::vector<Told> told;
+  if (stopped_at_) return told;
+  std::vector<std::uint64_t> over;
+  for (const auto& [id, permit] : permits_) {
+    if (permit.ends_at <= now) over.push_back(id);
+  }
+  for (const std::uint64_t id : over) release(id);
+  for (auto at = watches_.begin(); at != watches_.end();) {
+    const Watch& watch = at->second;
+    const auto found = changes(watch.prefix, watch.after);
+    if (found && found->empty() && now < watch.until) {
+      ++at;
+      continue;
+    }
+    told.push_back({at->first, watched(watch)});
+    at = watches_.erase(at);
+  }
+  return told;
+}
+
+double StateService::due() const {
+  double due = std::numeric_limits<double>::infinity();
+  if (stopped_at_) return due;
+  for (const auto& [id, permit] : permits_) due = std::min(due, permit.ends_at);
+  for (const auto& [id, watch] : watches_) due = std::min(due, watch.until);
+  return due;
+}
+
+}  // namespace reachramp::lab
--- /dev/null
+++ b/lab/model/state_service_test.cpp
@@ -0,0 +1,237 @@
+// The model against PROTOCOL, asked through the daemon's own codecs.
+#include "model/state_service.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace reachramp::lab {
+namespace {
+
+using state::Outcome;
+using wire::Json;
+
+constexpr settings::StateLimits kWide{1e6, 1e6, 8, 8};
+
+wire::Request request(const char* method, const std::string& path, const std::string& query = "",
+                      const std::optional<Json>& body = std::nullopt) {
+  return {method, path, query, body ? wire::encode(*body) : ""};
+}
+
+wire::Answer answer(const wire::Reply& reply) {
+  return {true, true, reply.status, reply.body, reply.retry_after_s};
+}
+
+wire::Answer ask(StateService& service, const wire::Request& what, double now = 0) {
+  return answer(std::get<wire::Reply>(service.ask("node", what, now)));
+}
+
+state::Committed commit(StateService& service, const state::Transaction& transaction,
+                        double now = 0) {
+  return state::decode_committed(
+      ask(service, request("POST", "/multi", "", state::encode_transaction(transaction)), now));
+}
+
+std::uint64_t hold(StateService& service, int life_ms, double now) {
+  return wire::count(
+      ask(service, request("POST", "/holds", "", Json{{"life_ms", life_ms}}), now).body, "permit");
+}
+
+state::Changes follow(StateService& service, std::uint64_t after, const std::string& prefix = "") {
+  return state::decode_changes(ask(
+      service, request("GET", "/follow", "starts=" + prefix + "&after=" + std::to_string(after))));
+}
+
+std::string key(int i) { return "k/" + std::to_string(i); }
+
+state::Transaction put(const std::string& key, int value, std::uint64_t stamp,
+                       std::optional<std::uint64_t> permit = std::nullopt) {
+  return {{{key, stamp}}, {{key, Json{{"v", value}}, permit}}};
+}
+
+// Whatever is asked in whatever order: a transaction applies whole or not at all, exactly if its
+// conditions hold; all its changes carry its revision; and the watch, read from any position that
+// was answered, leads to what is stored.
+RC_GTEST_PROP(StateServiceModel, IsAtomicAndItsWatchTellsAllOfIt, ()) {
+  StateService service(kWide, 1);
+  std::map<std::string, std::pair<int, std::uint64_t>> expected;
+  std::map<std::string, std::uint64_t> followed;
+  std::uint64_t position = 0, epoch = 0;
+  for (int step = 0; step < 60; ++step) {
+    state::Transaction transaction;
+    bool holds = true;
+    for (int i = 0, many = *rc::gen::inRange(0, 3); i < many; ++i) {
+      const std::string name = key(*rc::gen::inRange(0, 5));
+      const std::uint64_t stamp = expected.contains(name) ? expected[name].second : 0;
+      const bool right = *rc::gen::inRange(0, 4) > 0;
+      transaction.conditions.emplace_back(name, right ? stamp : stamp + 7);
+      holds = holds && right;
+    }
+    std::map<std::string, std::optional<int>> writes;
+    for (int i = 0, many = *rc::gen::inRange(0, 4); i < many; ++i) {
+      const std::string name = key(*rc::gen::inRange(0, 5));
+      if (writes.contains(name)) continue;
+      writes[name] = *rc::gen::inRange(0, 3) == 0 ? std::nullopt : std::optional<int>(step);
+      std::optional<Json> value;
+      if (writes[name]) value = Json{{"v", step}};
+      transaction.writes.push_back({name, value, std::nullopt});
+    }
+    const state::Committed committed = commit(service, transaction);
+    RC_ASSERT(committed.outcome == (holds ? Outcome::ok : Outcome::conflict));
+    if (holds) {
+      RC_ASSERT(committed.epoch == epoch + (writes.empty() ? 0 : 1));
+      epoch = committed.epoch;
+      for (const auto& [name, value] : writes) {
+        if (value) {
+          expected[name] = {*value, epoch};
+        } else {
+          expected.erase(name);
+        }
+      }
+    }
+    if (*rc::gen::inRange(0, 3) > 0) continue;
+    const state::Changes changes = follow(service, position);
+    RC_ASSERT(changes.outcome == Outcome::ok && changes.epoch == epoch);
+    for (const auto& change : changes.changes) {
+      RC_ASSERT(change.stamp > position);
+      change.value ? followed[change.key] = change.stamp : followed.erase(change.key);
+    }
+    position = changes.epoch;
+    RC_ASSERT(followed.size() == expected.size());
+    for (const auto& [name, item] : expected) {
+      RC_ASSERT(followed.at(name) == item.second);
+      const auto found = state::decode_found(ask(service, request("GET", "/keys/" + name)));
+      RC_ASSERT(found.entry.stamp == item.second && found.entry.value.at("v") == item.first);
+    }
+  }
+}
+
+// Late by up to 100 ms, never early; renewed in time they go on; with them go the keys that are
+// attached, and only those.
+RC_GTEST_PROP(StateServiceModel, PermitsEndLateAndNeverEarly, ()) {
+  StateService service(kWide, *rc::gen::arbitrary<std::uint64_t>());
+  const int life_ms = *rc::gen::inRange(100, 5000);
+  const double life = life_ms / 1000.0;
+  const std::uint64_t permit = hold(service, life_ms, 0);
+  RC_ASSERT(commit(service, put("leader", 1, 0, permit)).outcome == Outcome::ok);
+  RC_ASSERT(commit(service, put("other", 1, 0, permit)).outcome == Outcome::ok);
+  RC_ASSERT(commit(service, put("other", 2, 2)).outcome == Outcome::ok);  // without: detached
+  const double renewed_at = life * 0.9;
+  const std::string renew = "/holds/" + std::to_string(permit) + "/renew";
+  RC_ASSERT(ask(service, request("POST", renew, "", Json::object()), renewed_at).status == 200);
+  service.pass(renewed_at + life - 0.001);
+  RC_ASSERT(service.items().contains("leader"));
+  service.pass(renewed_at + life + 0.1);
+  RC_ASSERT(!service.items().contains("leader"));
+  RC_ASSERT(service.items().contains("other"));
+  RC_ASSERT(ask(service, request("POST", renew, "", Json::object()), 99).status == 404);
+  RC_ASSERT(commit(service, put("leader", 1, 0, permit), 99).outcome == Outcome::no_permit);
+  RC_ASSERT(service.changes("lead", 0)->back().stamp == service.epoch());
+}
+
+TEST(StateServiceModel, AnOutageRefusesAllAndGivesPermitsTheirFullTime) {
+  StateService service(kWide, 1);
+  const std::uint64_t permit = hold(service, 1000, 0);
+  commit(service, put("leader", 1, 0, permit));
+  auto watching =
+      service.ask("node", request("GET", "/follow", "starts=x&after=1&hold_ms=2000"), 0);
+  ASSERT_TRUE(std::holds_alternative<StateService::Watching>(watching));
+  service.stop(0.5);
+  EXPECT_EQ(commit(service, put("leader", 2, 1)).outcome, Outcome::refused);
+  EXPECT_TRUE(service.pass(30).empty()) << "open watches stay open";
+  service.go_on(30);
+  service.pass(30.9);
+  EXPECT_TRUE(service.items().contains("leader"));
+  EXPECT_EQ(service.pass(31.2).size(), 0u) << "answered when it went on";
+  EXPECT_FALSE(service.items().contains("leader"));
+}
+
+TEST(StateServiceModel, OneNodeCanBeRefusedAlone) {
+  StateService service(kWide, 1);
+  service.refuse("node", true);
+  EXPECT_EQ(ask(service, request("GET", "/keys/a")).status, 503);
+  EXPECT_EQ(
+      answer(std::get<wire::Reply>(service.ask("other", request("GET", "/keys/a"), 0))).status,
+      404);
+}
+
+// A position that is too old is told so, rather than given a part of what changed.
+TEST(StateServiceModel, AWatchThatFellBehindIsGone) {
+  StateService service(kWide, 1);
+  for (int i = 0; i < 10050; ++i) commit(service, put("k", i, static_cast<std::uint64_t>(i)));
+  EXPECT_EQ(follow(service, 49).outcome, Outcome::absent);
+  const state::Changes kept = follow(service, 50);
+  ASSERT_EQ(kept.outcome, Outcome::ok);
+  EXPECT_EQ(kept.changes.size(), 10000u);
+}
+
+RC_GTEST_PROP(StateServiceModel, NeverTakesMoreThanItsRates, ()) {
+  const double rate = *rc::gen::inRange(2, 40);
+  StateService service({1e6, rate, 8, 8}, 1);
+  double taken = 0, now = 0;
+  for (int i = 0; i < 200; ++i) {
+    now += 0.001 * *rc::gen::inRange(0, 100);
+    // Failed conditions count as well.
+    const auto outcome =
+        commit(service, put("k", i, *rc::gen::inRange(0, 2) ? 0 : 999), now).outcome;
+    taken += outcome == Outcome::refused ? 0 : 1;
+    RC_ASSERT(taken <= rate * (1 + now) + 1e-6);
+  }
+  RC_ASSERT(taken >= std::min(200.0, rate));
+}
+
+TEST(StateServiceModel, ListsPageByPageWithinTheirLimits) {
+  StateService service(kWide, 1);
+  for (int i = 0; i < 1500; ++i) commit(service, put("c/" + std::to_string(i), i, 0));
+  commit(service, put("d", 1, 0));
+  std::size_t found = 0;
+  std::string after;
+  for (bool more = true; more;) {
+    const state::Page page = state::decode_page(
+        ask(service, request("GET", "/keys", "starts=c/&after=" + after + "&limit=1000")));
+    ASSERT_EQ(page.outcome, Outcome::ok);
+    EXPECT_LE(page.entries.size(), 1000u);
+    found += page.entries.size();
+    after = page.entries.back().key;
+    more = page.more;
+  }
+  EXPECT_EQ(found, 1500u);
+}
+
+TEST(StateServiceModel, MalformedRequestsAreRefusedAndChangeNothing) {
+  StateService service({1e6, 1e6, 1, 2}, 1);
+  const auto multi = [&](const Json& body) {
+    return ask(service, request("POST", "/multi", "", body)).status;
+  };
+  const Json write{{"write", "a"}, {"value", 1}};
+  EXPECT_EQ(multi({{"then", {write, write, write}}}), 400) << "too many changes";
+  EXPECT_EQ(multi({{"then", {{{"write", "a"}, {"value", std::string(1100, 'x')}}}}}), 400);
+  EXPECT_EQ(multi({{"then", {{{"write", "a b"}, {"value", 1}}}}}), 400);
+  EXPECT_EQ(multi({{"then", {{{"write", ""}, {"value", 1}}}}}), 400);
+  EXPECT_EQ(multi({{"then", {{{"write", "a"}}}}}), 400);
+  EXPECT_EQ(multi({{"then", 5}}), 400);
+  EXPECT_EQ(multi({{"then", {5}}}), 400);
+  EXPECT_EQ(multi({{"if", {{{"k", "a"}, {"stamp", -1}}}}}), 400);
+  EXPECT_EQ(ask(service, {"POST", "/multi", "", "no map"}).status, 400);
+  EXPECT_EQ(ask(service, request("POST", "/holds", "", Json{{"life_ms", 99}})).status, 400);
+  EXPECT_EQ(ask(service, request("POST", "/holds/x/renew", "", Json::object())).status, 400);
+  EXPECT_EQ(ask(service, request("GET", "/follow", "after=-1")).status, 400);
+  EXPECT_EQ(ask(service, request("GET", "/follow", "after=1&hold_ms=60001")).status, 400);
+  EXPECT_EQ(ask(service, request("PUT", "/keys/a")).status, 400);
+  EXPECT_EQ(service.epoch(), 0u);
+  EXPECT_EQ(multi({{"if", {{{"k", "a"}, {"stamp", 0}}}}}), 200) << "a comparison alone";
+}
+
+// Put back, the data are older than what was answered: revisions repeat, with other contents.
+TEST(StateServiceModel, ARestoredServiceGoesOnFromOlderData) {
+  StateService service(kWide, 1);
+  commit(service, put("a", 1, 0));
+  const StateService::Backup backup = service.backup();
+  EXPECT_EQ(commit(service, put("a", 2, 1)).epoch, 2u);
+  service.restore(backup);
+  EXPECT_EQ(service.epoch(), 1u);
+  EXPECT_EQ(commit(service, put("a", 3, 1)).epoch, 2u);
+  EXPECT_EQ(service.items().at("a").value.at("v"), 3);
+}
+
+}  // namespace
+}  // namespace reachramp::lab
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -10,6 +10,7 @@
 
 #include <fstream>
 
+#include "loopback/state_server.h"
 #include "standins.h"
 #include "state/clock.h"
 
@@ -20,6 +21,7 @@
 using namespace std::chrono_literals;
 
 constexpr int kNodes = 3;
+constexpr settings::StateLimits kStateLimits{500, 100, 8, 8};
 
 std::uint16_t free_port() {
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -48,7 +50,8 @@
       controllers[name(i)] = {"127.0.0.1", serve_[i]};
       clients_[i] = std::make_unique<wire::Client>(controllers[name(i)], 1, wire::kBodyLimit);
     }
-    state_ = std::make_unique<StateStandIn>(state_port);
+    state_ = std::make_unique<lab::StateServer>(kStateLimits, 1);
+    state_->open("all", state_port);
     cloud_ = std::make_unique<CloudStandIn>(cloud_port, controllers);
     for (int i = 0; i < kNodes; ++i) {
       std::ofstream file(settings(i));
@@ -157,7 +160,16 @@
   std::uint16_t serve_[kNodes], peer_[kNodes];
   pid_t pids_[kNodes] = {};
   std::unique_ptr<wire::Client> clients_[kNodes];
-  std::unique_ptr<StateStandIn> state_;
+  std::size_t members() {
+    return state_->with(
+        [](const lab::StateService& model) { return model.list("member/").size(); });
+  }
+
+  void lower_limits() {
+    state_->with([](lab::StateService& model) { model.limit({500, 100, 2, 4}); });
+  }
+
+  std::unique_ptr<lab::StateServer> state_;
   std::unique_ptr<CloudStandIn> cloud_;
 };
 
@@ -229,7 +241,7 @@
 TEST_F(EndToEnd, PipelinesRunInOrderAlsoWhenLimitsFall) {
   ASSERT_TRUE(accepts(0, job("j-large", 600)));
   pipelines("a");
-  state_->limit({500, 100, 2, 4});
+  lower_limits();
   pipelines("b");
   kill_node(1);
   start(1);
@@ -262,8 +274,8 @@
       EXPECT_EQ(ask(i, "POST", "/submissions", &early).status, 503) << "an old node could start it";
     }
   }
-  EXPECT_TRUE(within(10, [&] { return state_->count("member/") == kNodes; }));
-  state_->limit({500, 100, 2, 4});
+  EXPECT_TRUE(within(10, [&] { return members() == kNodes; }));
+  lower_limits();
   pipelines("a");
   for (int i = 0; i < kNodes; ++i) {
     EXPECT_TRUE(within(60, [&] { return phase(i, "j-large" + std::to_string(i)) == "done"; }));
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -12,7 +12,7 @@
 #include <set>
 
 #include "controller/leader.h"
-#include "store.h"
+#include "model/state_service.h"
 
 namespace reachramp::test {
 namespace {
@@ -69,8 +69,8 @@
         platform_(platform()),
         upgraded_at_(between(90, 150)),
         lowered_at_(upgraded_at_ + between(0, 50)),
-        accepted_(platform_.state_limits.write_rps, platform_.state_limits.write_rps) {
-    store_.limit(platform_.state_limits);
+        accepted_(platform_.state_limits.write_rps, platform_.state_limits.write_rps),
+        store_(platform_.state_limits, seed) {
     store_.commit({{}, {{"catalog", cloud::encode_catalog(catalog()), std::nullopt}}});
   }
 
@@ -81,12 +81,12 @@
     jobs::Header header;
     header.spec = spec;
     for (const std::string& need : spec.needs) {
-      const auto live = store_.items.find(jobs::job_key(need));
+      const auto live = store_.items().find(jobs::job_key(need));
       header.cancelled =
           header.cancelled ||
-          (live != store_.items.end()
+          (live != store_.items().end()
                ? jobs::decode_header(live->second.value).cancelled
-               : jobs::decode_ending(store_.items.at(jobs::end_key(need)).value).cancelled);
+               : jobs::decode_ending(store_.items().at(jobs::end_key(need)).value).cancelled);
     }
     specs_[spec.id] = spec;
     store_.commit({{{jobs::job_key(spec.id), 0}, {jobs::end_key(spec.id), 0}},
@@ -94,8 +94,8 @@
   }
 
   void cancel(const std::string& id) {
-    const auto at = store_.items.find(jobs::job_key(id));
-    if (at == store_.items.end()) return;
+    const auto at = store_.items().find(jobs::job_key(id));
+    if (at == store_.items().end()) return;
     jobs::Header header = jobs::decode_header(at->second.value);
     header.cancelled = true;
     store_.commit({{{jobs::job_key(id), at->second.stamp}},
@@ -113,14 +113,14 @@
   }
   bool all_over() const {
     return std::all_of(specs_.begin(), specs_.end(), [&](const auto& spec) {
-      return store_.items.contains(jobs::end_key(spec.first));
+      return store_.items().contains(jobs::end_key(spec.first));
     });
   }
   std::string unfinished() const {
     std::string found;
     for (const auto& [id, spec] : specs_) {
-      const auto at = store_.items.find(jobs::job_key(id));
-      if (at != store_.items.end()) found += at->second.value.dump() + "\n";
+      const auto at = store_.items().find(jobs::job_key(id));
+      if (at != store_.items().end()) found += at->second.value.dump() + "\n";
     }
     return found;
   }
@@ -187,7 +187,7 @@
 
   void elect() {
     if (now_ < elect_at_) return;
-    permit_ = store_.hold();
+    permit_ = store_.hold(1e9, now_);
     const auto won = store_.commit({{{"leader", 0}}, {{"leader", Json{{"node", "x"}}, permit_}}});
     ASSERT_EQ(won.outcome, state::Outcome::ok);
     controller::Snapshot snapshot;
@@ -196,14 +196,14 @@
     snapshot.pools = store_.list("pool/");
     snapshot.catalog = store_.list("catalog").front();
     snapshot.all_upgraded = upgraded();
-    position_ = store_.epoch;
+    position_ = store_.epoch();
     leader_ = std::make_unique<Leader>(platform_, settings::Policy{}, won.epoch, snapshot, now_);
   }
 
   void follow_jobs() {
     if (chance(0.2)) return;
-    auto changes = store_.changes("job/", position_);
-    position_ = store_.epoch;
+    auto changes = *store_.changes("job/", position_);
+    position_ = store_.epoch();
     // The watch may lag behind what the leader has been told of its own writes.
     if (!changes.empty() && chance(0.3)) {
       const std::uint64_t until = changes[changes.size() / 2].stamp;
@@ -270,8 +270,8 @@
   void look_up(std::uint64_t baton, const std::string& id) {
     if (!leader_ || leader_->cluster().baton != baton) return;
     state::Found found;
-    const auto at = store_.items.find(jobs::end_key(id));
-    if (at == store_.items.end()) {
+    const auto at = store_.items().find(jobs::end_key(id));
+    if (at == store_.items().end()) {
       found.outcome = state::Outcome::absent;
     } else if (!chance(0.2)) {
       found = {state::Outcome::ok, {at->first, at->second.value, at->second.stamp}, 0};
@@ -481,8 +481,8 @@
       break_rule("wrong_place " + key.first);
     }
     for (const std::string& need : spec.needs) {
-      const auto end = store_.items.find(jobs::end_key(need));
-      if (end == store_.items.end() || jobs::decode_ending(end->second.value).cancelled) {
+      const auto end = store_.items().find(jobs::end_key(need));
+      if (end == store_.items().end() || jobs::decode_ending(end->second.value).cancelled) {
         break_rule("too_early " + key.first);
       }
     }
@@ -522,15 +522,15 @@
       }
     }
     for (const auto& [id, spec] : specs_) {
-      const auto end = store_.items.find(jobs::end_key(id));
-      const bool live = store_.items.contains(jobs::job_key(id));
-      if (live == (end != store_.items.end())) break_rule("forgotten " + id);
+      const auto end = store_.items().find(jobs::end_key(id));
+      const bool live = store_.items().contains(jobs::job_key(id));
+      if (live == (end != store_.items().end())) break_rule("forgotten " + id);
       const auto fell = falls(id);
       if (calm_ && live && fell && now_ - std::max(*fell, calm_at_) > platform_.workers.cancel_s &&
-          !jobs::decode_header(store_.items.at(jobs::job_key(id)).value).cancelled) {
+          !jobs::decode_header(store_.items().at(jobs::job_key(id)).value).cancelled) {
         break_rule("orphaned " + id);
       }
-      if (end == store_.items.end()) continue;
+      if (end == store_.items().end()) continue;
       const jobs::Ending ending = jobs::decode_ending(end->second.value);
       const auto [known, fresh] = endings_.try_emplace(id, ending.cancelled);
       if (known->second != ending.cancelled) break_rule("went_back " + id);
@@ -558,7 +558,7 @@
   double upgraded_at_, lowered_at_;
   bool lowered_ = false;
   state::Bucket accepted_;
-  Store store_;
+  lab::StateService store_;
   double now_ = 100;
   std::unique_ptr<Leader> leader_, former_;
   std::uint64_t permit_ = 0, position_ = 0;
--- a/test/standins.h
+++ b/test/standins.h
@@ -1,9 +1,7 @@
-// Stand-ins for the systems that a controller talks to, written after their protocol: a state
-// service, a cloud and workers, each on a loopback port.
+// Stand-ins for a cloud and its workers, written after their protocol, on a loopback port.
 #pragma once
 
 #include <atomic>
-#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -11,35 +9,10 @@
 #include <string>
 #include <thread>
 
-#include "store.h"
 #include "wire/http.h"
 
 namespace reachramp::test {
 
-class StateStandIn {
- public:
-  explicit StateStandIn(std::uint16_t port);
-  ~StateStandIn();
-
-  // From now on what is larger is refused.
-  void limit(const settings::StateLimits& limits);
-  // Keys that begin so.
-  std::size_t count(const std::string& prefix);
-
- private:
-  wire::Reply serve(const wire::Request& request);
-  void expire();
-
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  Store store_;
-  std::map<std::uint64_t, std::pair<double, double>> permits_;  // end, life
-  std::atomic<bool> stopping_{false};
-  std::thread reaper_;
-  wire::Budget budget_{200};
-  std::unique_ptr<wire::Server> server_;
-};
-
 // Rents machines that are up at once; each runs a worker that reports to the controllers.
 class CloudStandIn {
  public:
