The lab's models of cloud, workers and gangs, and a checker of places; the last stand-ins are gone

Need: as for the state service: one model of each outside system, for tests, loopback and simulations. The old stand-in had no capacity, prices, boots, lags, notices, images, checkpoints, gangs or leases. Change: lab/model/cloud, worker and field (what workers share: descriptions, results, checkpoints, gangs), all pure; lab/checker/placing_rules (ran_twice, wrong_place, quota, too_early from what machines hold); lab/loopback/fleet_server. The end-to-end test runs on them and on the checker; test/standins is gone. Result: 18 tests, reports and lists through the daemon's codecs; the checker is tested with a history for each rule.

--- /dev/null
+++ b/lab/checker/placing_rules.cpp
@@ -0,0 +1,100 @@
+#include "checker/placing_rules.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace reachramp::lab {
+
+void PlacingRules::note(const std::string& rule, const Field::TaskId& task, const std::string& how,
+                        double now) {
+  broken_.push_back(fmt::format("{} {}/{} {}, at {:.1f}", rule, task.job, task.task, how, now));
+}
+
+void PlacingRules::see(const Place& place,
+                       const std::vector<std::pair<Field::TaskId, std::uint64_t>>& holds,
+                       const Field& field, double now) {
+  places_[place.machine] = place;
+  std::set<Field::TaskId> present;
+  for (const auto& [task, attempt] : holds) present.insert(task);
+  std::set<Field::TaskId>& before = on_[place.machine];
+  for (const Field::TaskId& task : before) {
+    if (!present.contains(task)) machines_of_[task].erase(place.machine);
+  }
+  bool more = false;
+  for (const Field::TaskId& task : present) {
+    if (before.contains(task)) continue;
+    more = true;
+    started(place, task, field, now);
+    machines_of_[task].insert(place.machine);
+  }
+  before = std::move(present);
+  if (more) check_limits(field, now);
+}
+
+void PlacingRules::gone(const std::string& machine) {
+  for (const Field::TaskId& task : on_[machine]) machines_of_[task].erase(machine);
+  on_.erase(machine);
+  places_.erase(machine);
+}
+
+void PlacingRules::started(const Place& place, const Field::TaskId& task, const Field& field,
+                           double now) {
+  const jobs::Spec& spec = field.find(task.job)->spec;
+  for (const std::string& other : machines_of_[task]) {
+    note("ran_twice", task, "on " + place.machine + ", also on " + other, now);
+  }
+  const bool type_allowed = !spec.types || std::find(spec.types->begin(), spec.types->end(),
+                                                     place.type) != spec.types->end();
+  if (!type_allowed || (spec.zone && *spec.zone != place.zone) || (place.spot && !spec.spot)) {
+    note("wrong_place", task, "on " + place.machine + ", a " + place.type + " in " + place.zone,
+         now);
+  }
+  std::uint32_t in_zone = 1;
+  for (auto at = machines_of_.lower_bound({task.job, 0});
+       at != machines_of_.end() && at->first.job == task.job; ++at) {
+    for (const std::string& machine : at->second) {
+      const std::string& zone = places_.at(machine).zone;
+      if (spec.one_zone && zone != place.zone) {
+        note("wrong_place", task, "in " + place.zone + " beside tasks in " + zone, now);
+      }
+      in_zone += zone == place.zone ? 1 : 0;
+    }
+  }
+  if (spec.spread && in_zone > (spec.tasks + 1) / 2) {
+    note("wrong_place", task, "with more than half of its job in " + place.zone, now);
+  }
+  for (const std::string& need : spec.needs) {
+    const Field::Job* needed = field.find(need);
+    if (needed == nullptr || field.done_of(need) < needed->spec.tasks) {
+      note("too_early", task, "before " + need + " was done", now);
+    }
+  }
+}
+
+void PlacingRules::check_limits(const Field& field, double now) {
+  struct Use {
+    double cpus = 0;
+    double gpus = 0;
+  };
+  std::map<std::string, Use> used;
+  Field::TaskId last;
+  for (const auto& [machine, tasks] : on_) {
+    for (const Field::TaskId& task : tasks) {
+      const jobs::Spec& spec = field.find(task.job)->spec;
+      used[spec.team].cpus += spec.cpus;
+      used[spec.team].gpus += spec.gpus;
+      last = task;
+    }
+  }
+  for (const settings::Team& team : teams_) {
+    const Use& use = used[team.name];
+    if ((team.cpus_max > 0 && use.cpus > team.cpus_max + 1e-6) ||
+        (team.gpus_max > 0 && use.gpus > team.gpus_max + 1e-6)) {
+      note("quota", last,
+           fmt::format("and others of {}: {} cpus, {} gpus", team.name, use.cpus, use.gpus), now);
+    }
+  }
+}
+
+}  // namespace reachramp::lab
--- /dev/null
+++ b/lab/loopback/fleet_server.cpp
@@ -0,0 +1,192 @@
+#include "loopback/fleet_server.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "state/clock.h"
+
+namespace reachramp::lab {
+
+namespace {
+
+using state::steady_now;
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMostConnections = 4000;
+constexpr auto kAnswerLimit = 4000ms;  // PROTOCOL
+constexpr double kLookAtLeast_s = 1;
+constexpr double kLookAtMostEvery_s = 0.002;
+constexpr auto kThreadsStay = 2s;
+
+wire::Server::Sender anybody() {
+  return [](const wire::Request&) { return wire::Party::user; };
+}
+
+std::chrono::duration<double> until(double due, double now) {
+  return std::chrono::duration<double>(std::clamp(due - now, kLookAtMostEvery_s, kLookAtLeast_s));
+}
+
+// Each worker has an address of its own: 127.0.0.0/8 has room for all.
+CloudSpec with_addresses(CloudSpec spec, std::uint16_t port) {
+  if (port == 0) return spec;
+  spec.address = [port](const std::string& machine) {
+    const unsigned long number = std::stoul(machine.substr(machine.find('-') + 1));
+    return fmt::format("127.16.{}.{}:{}", number / 250, 1 + number % 250, port);
+  };
+  return spec;
+}
+
+}  // namespace
+
+FleetServer::FleetServer(FleetSpec spec, std::uint16_t cloud_port, std::uint64_t seed)
+    : spec_(std::move(spec)),
+      random_(seed),
+      cloud_(with_addresses(spec_.cloud, spec_.worker_port), seed),
+      field_(spec_.workers),
+      rules_(spec_.teams),
+      budget_(kMostConnections),
+      door_(std::make_unique<wire::Server>(
+          wire::Address{"127.0.0.1", cloud_port}, budget_, wire::Party::user, anybody(),
+          [this](const wire::Request& request) { return serve_cloud(request); })),
+      crew_(kThreadsStay),
+      clock_([this] { keep_time(); }) {}
+
+FleetServer::~FleetServer() {
+  std::map<std::string, Shared> members;
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+    changed_.notify_one();
+    members = members_;
+    for (auto& [name, member] : members) {
+      member->gone = true;
+      member->changed.notify_one();
+    }
+  }
+  clock_.join();
+  door_.reset();
+  for (auto& [name, member] : members) member->door.reset();
+  left_.clear();
+}
+
+void FleetServer::upload(Field::Job job) {
+  std::lock_guard lock(mutex_);
+  field_.upload(std::move(job));
+}
+
+std::vector<std::string> FleetServer::broken_rules() {
+  std::lock_guard lock(mutex_);
+  return rules_.broken();
+}
+
+wire::Reply FleetServer::serve_cloud(const wire::Request& request) {
+  std::lock_guard lock(mutex_);
+  wire::Reply reply = cloud_.ask(request, steady_now());
+  changed_.notify_one();
+  return reply;
+}
+
+wire::Reply FleetServer::serve_worker(Member& member, const wire::Request& request) {
+  std::lock_guard lock(mutex_);
+  if (member.gone) return {503, {{"error", "gone"}}};
+  const double now = steady_now();
+  wire::Reply reply = member.worker->ask(request, now);
+  look(member, now);
+  member.changed.notify_one();
+  return reply;
+}
+
+// Under the lock, after everything that may have changed what is on the machine.
+void FleetServer::look(Member& member, double now) {
+  if (!member.gone) rules_.see(member.place, member.worker->holds(), field_, now);
+}
+
+void FleetServer::keep_time() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const double now = steady_now();
+    for (const Cloud::Event& event : cloud_.pass(now)) {
+      const auto at = members_.find(event.machine);
+      if (event.what == Cloud::What::up) {
+        come_up(event.machine, now);
+      } else if (event.what == Cloud::What::gone) {
+        go(event.machine, now);
+      } else if (at != members_.end()) {
+        at->second->worker->notice(event.notice_s, now);
+        at->second->changed.notify_one();
+      }
+    }
+    if (!left_.empty()) {
+      // A door closes once its threads are done, which may wait for the lock.
+      const std::vector<Shared> left = std::exchange(left_, {});
+      lock.unlock();
+      for (const Shared& member : left) member->door.reset();
+      lock.lock();
+    }
+    changed_.wait_for(lock, until(cloud_.due(), steady_now()));
+  }
+}
+
+void FleetServer::come_up(const std::string& name, double now) {
+  const Cloud::Machine& rented = cloud_.machines().at(name);
+  const auto type = std::find_if(spec_.cloud.catalog.begin(), spec_.cloud.catalog.end(),
+                                 [&](const auto& one) { return one.name == rented.type; });
+  auto member = std::make_shared<Member>();
+  member->place = {name, rented.type, rented.zone, rented.spot};
+  if (spec_.worker_port != 0) {
+    member->door = std::make_unique<wire::Server>(
+        wire::parse_address(rented.address), budget_, wire::Party::user, anybody(),
+        [this, raw = member.get()](const wire::Request& request) {
+          return serve_worker(*raw, request);
+        });
+  }
+  std::vector<std::string> nodes;
+  for (const auto& [node, where] : spec_.controllers) nodes.push_back(node);
+  member->worker = std::make_unique<Worker>(
+      Worker::Machine{name, rented.address, *type, rented.zone, rented.spot, 1, false},
+      spec_.workers, std::move(nodes), field_, random_(), now);
+  members_[name] = member;
+  crew_.run([this, member] { run(member); });
+}
+
+void FleetServer::go(const std::string& name, double now) {
+  const auto at = members_.find(name);
+  if (at == members_.end()) return;
+  const Shared member = at->second;
+  members_.erase(at);
+  member->gone = true;
+  member->worker->end(now);
+  rules_.gone(name);
+  member->changed.notify_one();
+  left_.push_back(member);
+}
+
+// The worker's own thread: reports, and waits for their answers.
+void FleetServer::run(const Shared& member) {
+  std::map<std::string, std::unique_ptr<wire::Client>> clients;
+  std::unique_lock lock(mutex_);
+  while (!member->gone) {
+    const double now = steady_now();
+    const auto sending = member->worker->pass(now);
+    look(*member, now);
+    if (!sending) {
+      member->changed.wait_for(lock, until(member->worker->due(), now));
+      continue;
+    }
+    auto& client = clients[sending->node];
+    if (!client) {
+      client =
+          std::make_unique<wire::Client>(spec_.controllers.at(sending->node), 1, wire::kBodyLimit);
+    }
+    lock.unlock();
+    const wire::Answer answer = client->call("POST", "/v1/report", &sending->report, kAnswerLimit);
+    lock.lock();
+    if (member->gone) break;
+    const double heard = steady_now();
+    member->worker->answered(answer, heard);
+    look(*member, heard);
+  }
+}
+
+}  // namespace reachramp::lab
--- /dev/null
+++ b/lab/loopback/fleet_server.h
@@ -0,0 +1,84 @@
+// The models of the cloud and its workers on loopback: the cloud behind a port, each worker a
+// client of the controllers and a server for direct orders on an address of its own.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "checker/placing_rules.h"
+#include "model/cloud.h"
+#include "model/field.h"
+#include "model/worker.h"
+#include "wire/crew.h"
+#include "wire/http.h"
+
+namespace reachramp::lab {
+
+struct FleetSpec {
+  CloudSpec cloud;
+  settings::Workers workers;
+  std::vector<settings::Team> teams;
+  std::map<std::string, wire::Address> controllers;  // by name: where they serve
+  std::uint16_t worker_port = 0;  // for direct orders, on addresses from 127.16.0.1 on; 0: none
+};
+
+class FleetServer {
+ public:
+  // Throws std::system_error if the port cannot be had.
+  FleetServer(FleetSpec spec, std::uint16_t cloud_port, std::uint64_t seed);
+  ~FleetServer();
+  FleetServer(const FleetServer&) = delete;
+
+  // As users do, beside submitting it.
+  void upload(Field::Job job);
+  // Something done to the cloud, or asked of it, while nothing else is.
+  template <class Use>
+  auto with_cloud(Use use) {
+    const std::lock_guard lock(mutex_);
+    struct Woken {
+      std::condition_variable& changed;
+      ~Woken() { changed.notify_one(); }
+    } woken{changed_};
+    return use(cloud_);
+  }
+  std::vector<std::string> broken_rules();
+
+ private:
+  struct Member {
+    std::unique_ptr<Worker> worker;
+    PlacingRules::Place place;
+    std::unique_ptr<wire::Server> door;
+    std::condition_variable changed;
+    bool gone = false;
+  };
+  using Shared = std::shared_ptr<Member>;
+
+  wire::Reply serve_cloud(const wire::Request& request);
+  wire::Reply serve_worker(Member& member, const wire::Request& request);
+  void keep_time();
+  void come_up(const std::string& machine, double now);
+  void go(const std::string& machine, double now);
+  void run(const Shared& member);
+  void look(Member& member, double now);
+
+  FleetSpec spec_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::mt19937_64 random_;
+  Cloud cloud_;
+  Field field_;
+  PlacingRules rules_;
+  std::map<std::string, Shared> members_;
+  std::vector<Shared> left_;  // whose doors are still to be closed
+  bool stopping_ = false;
+  wire::Budget budget_;
+  std::unique_ptr<wire::Server> door_;
+  wire::Crew crew_;
+  std::thread clock_;
+};
+
+}  // namespace reachramp::lab
--- /dev/null
+++ b/lab/model/cloud_test.cpp
@@ -0,0 +1,192 @@
+// The model against PROTOCOL, asked and understood through the daemon's own codecs.
+#include "model/cloud.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+
+namespace reachramp::lab {
+namespace {
+
+using wire::Json;
+
+const PoolName kSpot{"small", "a", true};
+const PoolName kOrdinary{"small", "a", false};
+
+CloudSpec spec() {
+  CloudSpec made;
+  made.catalog = {{"small", 4, 0, 16, 50, 1, 3.6, 0.9, 40, {"a", "b"}}};
+  made.capacity = {{kSpot, 12}, {kOrdinary, 5}};
+  made.limits = {1e6, 4};
+  return made;
+}
+
+wire::Reply post(Cloud& model, const std::string& path, const Json& body, double now) {
+  return model.ask({"POST", path, "", wire::encode(body)}, now);
+}
+
+wire::Reply hire(Cloud& model, const std::string& name, int count, const PoolName& pool,
+                 double now) {
+  const auto& [type, zone, spot] = pool;
+  return post(model, "/hosts", cloud::encode_hire({name, type, zone, spot, count}), now);
+}
+
+std::vector<std::string> names(const wire::Reply& reply) {
+  return reply.body.at("hosts").get<std::vector<std::string>>();
+}
+
+std::vector<cloud::Listed> list(Cloud& model, double now, int limit = 500) {
+  std::vector<cloud::Listed> found;
+  for (bool more = true; more;) {
+    const std::string after = found.empty() ? "" : found.back().name;
+    const wire::Reply reply =
+        model.ask({"GET", "/hosts", "after=" + after + "&limit=" + std::to_string(limit), ""}, now);
+    for (const Json& item : reply.body.at("hosts")) found.push_back(cloud::decode_listed(item));
+    more = reply.body.at("truncated").get<bool>();
+  }
+  return found;
+}
+
+// Never more machines than there is room for; the same request answered the same way for ever; and
+// lists that lag, may go back, and yet never lose what they once showed.
+RC_GTEST_PROP(CloudModel, KeepsToItsRoomAndItsWord, ()) {
+  Cloud model(spec(), *rc::gen::arbitrary<std::uint64_t>());
+  std::map<std::string, std::vector<std::string>> granted;
+  std::map<std::string, double> rented, returned;
+  std::set<std::string> shown;
+  double now = 0;
+  for (int step = 0; step < 60; ++step) {
+    now += *rc::gen::inRange(0, 30) / 10.0;
+    const std::string request = "r-" + std::to_string(*rc::gen::inRange(0, 25));
+    if (*rc::gen::inRange(0, 3) > 0) {
+      const wire::Reply reply = hire(model, request, *rc::gen::inRange(1, 8), kSpot, now);
+      if (granted.contains(request)) {
+        RC_ASSERT(reply.status == 200 && names(reply) == granted[request]);
+      } else if (reply.status == 200) {
+        granted[request] = names(reply);
+        for (const std::string& name : names(reply)) {
+          RC_ASSERT(rented.try_emplace(name, now).second);
+        }
+      } else {
+        RC_ASSERT(reply.status == 503 && reply.body.at("error") == "no capacity");
+        RC_ASSERT(rented.size() - returned.size() == 12);
+      }
+    } else if (!rented.empty()) {
+      const std::string name =
+          std::next(rented.begin(), *rc::gen::inRange<int>(0, static_cast<int>(rented.size())))
+              ->first;
+      RC_ASSERT(post(model, "/hosts/return", {{"hosts", {name, "n-never"}}}, now).status == 200);
+      returned.try_emplace(name, now);
+    }
+    RC_ASSERT(rented.size() - returned.size() <= 12);
+    std::set<std::string> listed;
+    std::string last;
+    for (const auto& machine : list(model, now, 3)) {
+      RC_ASSERT(machine.name > last);
+      last = machine.name;
+      listed.insert(machine.name);
+    }
+    for (const auto& [name, at] : rented) {
+      const auto back = returned.find(name);
+      const bool here = back == returned.end();
+      const bool long_gone = !here && now - back->second > 8;
+      RC_ASSERT(!here || now - at <= 8 || listed.contains(name));
+      RC_ASSERT(!here || !shown.contains(name) || listed.contains(name));
+      RC_ASSERT(!long_gone || !listed.contains(name));
+    }
+    shown.insert(listed.begin(), listed.end());
+  }
+}
+
+TEST(CloudModel, MachinesComeUpWithinTheirTimesAndSpotOnesAreTaken) {
+  CloudSpec harsh = spec();
+  harsh.capacity[kSpot] = 50;
+  harsh.spot_per_hour = 30;
+  harsh.silent = 0.4;
+  Cloud model(harsh, 7);
+  ASSERT_EQ(names(hire(model, "r-1", 50, kSpot, 0)).size(), 50u);
+  std::map<std::string, double> up, noticed, gone;
+  for (double now = 0; now < 2000; now = std::max(now + 0.001, model.due())) {
+    for (const Cloud::Event& event : model.pass(now)) {
+      if (event.what == Cloud::What::up) up[event.machine] = event.at;
+      if (event.what == Cloud::What::notice) noticed[event.machine] = event.at + event.notice_s;
+      if (event.what == Cloud::What::gone) gone[event.machine] = event.at;
+    }
+    if (!std::isfinite(model.due())) break;
+  }
+  EXPECT_GT(up.size(), 30u) << "those that are not taken while they boot";
+  for (const auto& [machine, at] : up) {
+    EXPECT_GE(at, 0.6 * 40);
+    EXPECT_LE(at, 1.5 * 40);
+    ASSERT_TRUE(gone.contains(machine));
+    if (noticed.contains(machine)) {
+      EXPECT_NEAR(gone[machine], noticed[machine], 1e-6);
+    }
+  }
+  EXPECT_GT(noticed.size(), 10u);
+  EXPECT_LT(noticed.size(), up.size()) << "some go without a word";
+}
+
+// A dead machine is listed as running for half a minute, then as failed until it is deleted.
+TEST(CloudModel, ADeadMachineShowsLate) {
+  Cloud model(spec(), 1);
+  const std::string name = names(hire(model, "r-1", 1, kOrdinary, 0)).front();
+  model.pass(100);
+  model.kill(name, 100);
+  EXPECT_EQ(list(model, 120).front().phase, cloud::MachinePhase::running);
+  EXPECT_EQ(list(model, 140).front().phase, cloud::MachinePhase::failed);
+  const double spent = model.spent(140);
+  EXPECT_NEAR(spent, 0.1, 1e-6) << "100 s at 3.6 an hour";
+  EXPECT_NEAR(model.spent(1000), spent, 1e-9) << "no longer charged";
+  post(model, "/hosts/return", {{"hosts", {name}}}, 150);
+  EXPECT_TRUE(list(model, 170).empty());
+}
+
+TEST(CloudModel, ChargesAtLeastAMinuteForWhatIsReturned) {
+  Cloud model(spec(), 1);
+  const std::string name = names(hire(model, "r-1", 1, kOrdinary, 0)).front();
+  EXPECT_NEAR(model.spent(10), 0.01, 1e-6);
+  post(model, "/hosts/return", {{"hosts", {name}}}, 10);
+  EXPECT_NEAR(model.spent(10), 0.06, 1e-6);
+}
+
+TEST(CloudModel, RefusesWhatItCannotTake) {
+  CloudSpec slow = spec();
+  slow.limits.rps = 5;
+  Cloud model(slow, 1);
+  EXPECT_EQ(hire(model, "r-1", 51, kSpot, 0).status, 400);
+  EXPECT_EQ(hire(model, "r-1", 0, kSpot, 0).status, 400);
+  EXPECT_EQ(hire(model, "r-1", 1, {"none", "a", true}, 0).status, 400);
+  EXPECT_EQ(hire(model, "r-1", 1, {"small", "c", true}, 0).status, 400);
+  EXPECT_EQ(hire(model, "r-1", 1, {"small", "b", true}, 0).status, 503);
+  EXPECT_EQ(post(model, "/hosts/return", {{"hosts", std::vector<std::string>(101, "n")}}, 0).status,
+            400);
+  EXPECT_EQ(post(model, "/hosts/return", {{"hosts", {7}}}, 0).status, 400);
+  EXPECT_EQ(model.ask({"GET", "/hosts", "limit=x", ""}, 0).status, 400);
+  EXPECT_EQ(model.ask({"POST", "/hosts", "", "no map"}, 0).status, 400);
+  EXPECT_EQ(model.ask({"GET", "/catalog", "", ""}, 0).status, 200);
+  EXPECT_EQ(model.ask({"GET", "/catalog", "", ""}, 0).status, 429) << "two seconds' worth is gone";
+  EXPECT_EQ(model.ask({"GET", "/catalog", "", ""}, 1).status, 200);
+  model.stop();
+  const wire::Reply out = model.ask({"GET", "/catalog", "", ""}, 9);
+  EXPECT_EQ(out.status, 503);
+  EXPECT_EQ(out.body.at("error"), "trouble");
+}
+
+TEST(CloudModel, SpotPricesMoveByAThirdAtMost) {
+  Cloud model(spec(), 3);
+  double low = 9, high = 0;
+  for (double now = 0; now < 3000; now += 10) {
+    const auto reply = model.ask({"GET", "/catalog", "", ""}, now);
+    const double price = cloud::decode_catalog(reply.body).front().spot_price;
+    low = std::min(low, price);
+    high = std::max(high, price);
+  }
+  EXPECT_GE(low, 0.9 * 2 / 3 - 1e-9);
+  EXPECT_LE(high, 0.9 * 4 / 3 + 1e-9);
+  EXPECT_GT(high - low, 0.3);
+}
+
+}  // namespace
+}  // namespace reachramp::lab
--- a/lab/model/state_service.cpp
+++ b/lab/model/state_service.cpp
@@ -1,9 +1,10 @@
 #include "model/state_service.h"
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 
+#include "model/query.h"
+
 namespace reachramp::lab {
 
 using state::Json;
@@ -31,27 +32,6 @@
   return !key.empty() && key.size() <= kLongestKey && key.find(' ') == std::string::npos;
 }
 
-std::string parameter(const std::string& query, const std::string& name) {
-  const std::string padded = "&" + query;
-  const auto at = padded.find("&" + name + "=");
-  if (at == std::string::npos) return "";
-  const auto begin = at + name.size() + 2;
-  return padded.substr(begin, padded.find('&', begin) - begin);
-}
-
-std::uint64_t number(const std::string& text, const char* field) {
-  std::uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc() || stop != end)
-    throw wire::BadMessage(std::string(field) + ": no count");
-  return value;
-}
-
-std::uint64_t number_or(const std::string& text, const char* field, std::uint64_t otherwise) {
-  return text.empty() ? otherwise : number(text, field);
-}
-
 std::string key_of(const Json& item, const char* field) {
   const std::string key = wire::text(item, field);
   if (!is_key(key)) throw wire::BadMessage(std::string(field) + ": not a key");
--- /dev/null
+++ b/lab/model/worker_test.cpp
@@ -0,0 +1,313 @@
+// The model against PROTOCOL; its reports go through the daemon's own codec.
+#include "model/worker.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "checker/placing_rules.h"
+#include "workers/report.h"
+
+namespace reachramp::lab {
+namespace {
+
+using wire::Json;
+
+constexpr settings::Workers kRules{1, 10, 15, 4, 30};
+
+class WorkerModel : public ::testing::Test {
+ protected:
+  WorkerModel() : field_(kRules) {}
+
+  Worker worker(const std::string& name = "n-1", double speed = 1) {
+    return {{name, "", {"small", 4, 0, 16, 5, 1, 1, 1, 1, {"a"}}, "a", true, speed, false},
+            kRules,
+            {"node-0", "node-1", "node-2"},
+            field_,
+            5,
+            0};
+  }
+
+  void upload(const std::string& id, jobs::Shape shape, std::uint32_t tasks, double run_s,
+              double checkpoint_s = 0, double cpus = 1, const std::string& image = "img") {
+    Field::Job job;
+    job.spec.id = id;
+    job.spec.shape = shape;
+    job.spec.tasks = tasks;
+    job.spec.cpus = cpus;
+    job.spec.image = image;
+    job.spec.image_gb = 2;
+    job.spec.checkpoint_s = checkpoint_s;
+    job.spec.save_s = 3;
+    job.run_s = run_s;
+    field_.upload(job);
+  }
+
+  static Json order(const char* verb, const std::string& piece, int attempt, double wind_down = 0) {
+    Json made{{"verb", verb}, {"piece", piece}, {"try", attempt}};
+    if (std::string(verb) == "stop") made["wind_down_s"] = wind_down;
+    return made;
+  }
+
+  // Executed at once, by way of /orders.
+  int tell(Worker& worker, const std::vector<Json>& orders, double now, std::uint64_t baton = 1) {
+    looked_at_.insert(&worker);
+    pass(now);
+    const Json body{{"baton", baton}, {"tenure", worker.tenure()}, {"orders", orders}};
+    return worker.ask({"POST", "/orders", "", wire::encode(body)}, now).status;
+  }
+
+  // Lets time pass for all workers that were looked at; their reports are answered, so that no
+  // lease ends.
+  void pass(double now) {
+    for (; now_ < now; now_ = std::min(now, now_ + 0.05)) {
+      for (Worker* worker : looked_at_) report(*worker, now_);
+    }
+    for (Worker* worker : looked_at_) report(*worker, now);
+  }
+  static void report(Worker& worker, double now) {
+    if (!worker.pass(now)) return;
+    worker.answered({true, true, 200, {{"baton", worker.baton()}, {"orders", Json::array()}}, 0},
+                    now);
+  }
+
+  std::map<std::string, std::string> pieces(Worker& worker, double now) {
+    looked_at_.insert(&worker);
+    pass(now);
+    const wire::Reply status = worker.ask({"GET", "/status", "", ""}, now);
+    workers::decode_report(status.body);
+    std::map<std::string, std::string> found;
+    for (const Json& piece : status.body.at("pieces")) {
+      found[piece.at("piece")] =
+          piece.at("phase") == "exited" ? piece.at("cause") : piece.at("phase");
+    }
+    return found;
+  }
+
+  std::string at(Worker& worker, const std::string& piece, double now) {
+    const auto found = pieces(worker, now);
+    return found.contains(piece) ? found.at(piece) : "none";
+  }
+
+  Field field_;
+  std::set<Worker*> looked_at_;
+  double now_ = 0;
+};
+
+TEST_F(WorkerModel, ImagesShareTheRateAndAreFetchedOnce) {
+  upload("j-1", jobs::Shape::array, 2, 10);
+  upload("j-2", jobs::Shape::array, 1, 10, 0, 1, "other");
+  Worker one = worker();
+  tell(one, {order("start", "j-1/0", 1), order("start", "j-1/1", 1), order("start", "j-2/0", 1)},
+       0);
+  EXPECT_EQ(at(one, "j-1/0", 3.9), "fetching");
+  EXPECT_EQ(at(one, "j-1/1", 4.1), "running") << "two images of 2 GB at 1 GB a second";
+  EXPECT_EQ(at(one, "j-2/0", 4.1), "running");
+  EXPECT_EQ(at(one, "j-1/0", 13.9), "running");
+  EXPECT_EQ(at(one, "j-1/0", 14.1), "done");
+  tell(one, {order("clear", "j-1/0", 1), order("start", "j-1/0", 2)}, 15);
+  EXPECT_EQ(at(one, "j-1/0", 15.1), "done") << "the result is kept, and the image is here";
+}
+
+TEST_F(WorkerModel, OrdersCanBeRepeatedAndRefusedStartsAreNotLost) {
+  upload("j-1", jobs::Shape::array, 9, 10, 0, 2);
+  Worker one = worker();
+  const std::vector<Json> orders{order("start", "j-1/0", 1), order("start", "j-1/1", 1),
+                                 order("start", "j-1/2", 1), order("start", "j-1/0", 2),
+                                 order("start", "j-9/0", 1), order("start", "j-1/9", 1)};
+  for (int i = 0; i < 3; ++i) tell(one, orders, 0.1 * i);
+  EXPECT_EQ(at(one, "j-1/2", 1), "full");
+  EXPECT_EQ(at(one, "j-9/0", 1), "no_such");
+  EXPECT_EQ(at(one, "j-1/9", 1), "no_such");
+  EXPECT_EQ(one.holds().size(), 0u) << "still fetching";
+  pieces(one, 3);
+  EXPECT_EQ(one.holds().size(), 2u);
+  tell(one, {order("stop", "j-1/0", 1, 9)}, 4);
+  EXPECT_EQ(at(one, "j-1/1", 4.1), "running");
+  EXPECT_EQ(one.holds().size(), 1u) << "without checkpoints it ends at once";
+  EXPECT_EQ(tell(one, {}, 5, 0), 409) << "a token that is lower than the highest seen";
+}
+
+TEST_F(WorkerModel, ASavedTaskGoesOnWhereItStopped) {
+  upload("j-1", jobs::Shape::array, 1, 20, 5);
+  Worker one = worker(), two = worker("n-2");
+  tell(one, {order("start", "j-1/0", 1)}, 0);
+  pieces(one, 2);
+  tell(one, {order("stop", "j-1/0", 1, 3)}, 10.5);
+  EXPECT_EQ(at(one, "j-1/0", 12), "flushing");
+  EXPECT_EQ(at(one, "j-1/0", 13.6), "halted");
+  tell(two, {order("start", "j-1/0", 2)}, 14);
+  pieces(two, 16);
+  EXPECT_EQ(at(two, "j-1/0", 27.4), "running") << "8.5 of 20 s were saved";
+  EXPECT_EQ(at(two, "j-1/0", 27.6), "done");
+}
+
+TEST_F(WorkerModel, WithoutAnswersTheLeaseEndsAndAllIsForgotten) {
+  upload("j-1", jobs::Shape::array, 1, 100);
+  Worker one = worker();
+  const Json body{{"baton", 4}, {"tenure", 1}, {"orders", {order("start", "j-1/0", 1)}}};
+  ASSERT_EQ(one.ask({"POST", "/orders", "", wire::encode(body)}, 0).status, 200);
+  const auto first = one.pass(0);
+  ASSERT_TRUE(first);
+  EXPECT_FALSE(one.pass(1.5)) << "one report in flight at a time";
+  one.answered({}, 4);
+  EXPECT_FALSE(one.pass(4.5));
+  const auto next = one.pass(5.1);
+  ASSERT_TRUE(next);
+  EXPECT_NE(next->node, first->node) << "the next node, a second later";
+  one.answered({true, true, 200, {{"baton", 3}, {"orders", Json::array()}}, 0}, 5.2);
+  EXPECT_EQ(one.tenure(), 1u);
+  const auto fresh = one.pass(10.1);
+  EXPECT_EQ(one.tenure(), 2u) << "the answer with the lower token did not renew it";
+  EXPECT_TRUE(one.holds().empty());
+  ASSERT_TRUE(fresh);
+  EXPECT_EQ(workers::decode_report(fresh->report).tenure, 2u);
+  EXPECT_TRUE(workers::decode_report(fresh->report).pieces.empty());
+}
+
+TEST_F(WorkerModel, FollowsTheNodeItIsSentTo) {
+  Worker one = worker();
+  const std::string was = one.pass(0)->node;
+  const std::string other = was == "node-0" ? "node-1" : "node-0";
+  one.answered({true, true, 421, {{"upstream", other}}, 0}, 0.1);
+  const auto again = one.pass(0.7);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->node, other);
+}
+
+class GangModel : public WorkerModel {
+ protected:
+  GangModel() : one_(worker("n-1")), two_(worker("n-2", 0.5)) {
+    upload("j-1", jobs::Shape::gang, 2, 20, 5);
+  }
+  void begin() {
+    tell(one_, {order("start", "j-1/0", 1)}, 0);
+    tell(two_, {order("start", "j-1/1", 1)}, 1);
+    EXPECT_EQ(at(one_, "j-1/0", 2.5), "waiting");
+    pieces(two_, 3);
+    EXPECT_EQ(at(one_, "j-1/0", 3.1), "running");
+    EXPECT_EQ(at(two_, "j-1/1", 3.1), "running");
+  }
+  Worker one_, two_;
+};
+
+TEST_F(GangModel, RunsTogetherAtThePaceOfItsSlowestAndCompletesTogether) {
+  begin();
+  EXPECT_EQ(at(one_, "j-1/0", 42.9), "running") << "20 s at half the speed, from 3 on";
+  EXPECT_EQ(at(one_, "j-1/0", 43.1), "done");
+  EXPECT_EQ(at(two_, "j-1/1", 43.1), "done");
+}
+
+TEST_F(GangModel, LosesItsMatesAndFallsBackToItsCheckpoint) {
+  begin();
+  pieces(one_, 26);
+  two_.end(26);
+  EXPECT_EQ(at(one_, "j-1/0", 26.1), "running");
+  EXPECT_EQ(at(one_, "j-1/0", 30), "mates_gone") << "within gang_peer_s";
+  EXPECT_DOUBLE_EQ(field_.saved({"j-1", 0}), 10) << "of 11.5";
+}
+
+TEST_F(GangModel, StopsInOrderWhenAllAreToldInTime) {
+  begin();
+  tell(one_, {order("stop", "j-1/0", 1, 4)}, 20);
+  EXPECT_EQ(at(one_, "j-1/0", 21), "flushing");
+  tell(two_, {order("stop", "j-1/1", 1, 4)}, 22);
+  EXPECT_EQ(at(one_, "j-1/0", 23.5), "flushing") << "it has saved, and waits for the other";
+  EXPECT_EQ(at(two_, "j-1/1", 25.1), "halted");
+  EXPECT_EQ(at(one_, "j-1/0", 25.1), "halted");
+  EXPECT_DOUBLE_EQ(field_.saved({"j-1", 0}), 8.5) << "progress stopped with the first stop";
+}
+
+TEST_F(GangModel, ASaveFailsIfOneIsNotToldInTime) {
+  begin();
+  tell(one_, {order("stop", "j-1/0", 1, 4)}, 20);
+  pieces(one_, 24.1);
+  tell(two_, {order("stop", "j-1/1", 1, 4)}, 24.5);
+  EXPECT_EQ(at(one_, "j-1/0", 27), "mates_gone");
+  EXPECT_DOUBLE_EQ(field_.saved({"j-1", 0}), 5) << "of 8.5";
+}
+
+TEST_F(GangModel, IsIncompleteWithoutAMateAndTakesAReplacement) {
+  tell(one_, {order("start", "j-1/0", 1)}, 0);
+  tell(two_, {order("start", "j-1/1", 1)}, 0);
+  EXPECT_EQ(at(one_, "j-1/0", 1), "fetching");
+  pieces(two_, 1);
+  two_.end(1.5);
+  EXPECT_EQ(at(one_, "j-1/0", 5), "waiting");
+  EXPECT_EQ(at(one_, "j-1/0", 16.9), "waiting");
+  Worker three = worker("n-3");
+  tell(three, {order("start", "j-1/1", 1)}, 5);
+  pieces(three, 7.1);
+  EXPECT_EQ(at(one_, "j-1/0", 7.2), "running") << "the same attempt, with another machine";
+}
+
+TEST_F(GangModel, GivesUpAfterItsWait) {
+  tell(one_, {order("start", "j-1/0", 1)}, 0);
+  pieces(one_, 2);
+  EXPECT_EQ(at(one_, "j-1/0", 16.9), "waiting");
+  EXPECT_EQ(at(one_, "j-1/0", 17.1), "incomplete");
+}
+
+// Each rule about places, broken once, and a history that breaks none.
+TEST_F(WorkerModel, TheCheckerSeesEachRuleBroken) {
+  const auto tasks = [](std::initializer_list<Field::TaskId> ids) {
+    std::vector<std::pair<Field::TaskId, std::uint64_t>> held;
+    for (const auto& id : ids) held.emplace_back(id, 1);
+    return held;
+  };
+  Field::Job job;
+  job.spec.tasks = 4;
+  job.spec.team = "red";
+  job.spec.cpus = 2;
+  const auto add = [&](const std::string& id, auto change) {
+    Field::Job made = job;
+    made.spec.id = id;
+    change(made.spec);
+    field_.upload(made);
+  };
+  add("j-1", [](jobs::Spec& spec) { spec.spot = true; });
+  add("j-2", [](jobs::Spec& spec) { spec.one_zone = true; });
+  add("j-3", [](jobs::Spec& spec) { spec.spread = true; });
+  add("j-4", [](jobs::Spec& spec) { spec.needs = {"j-1"}; });
+  add("j-5", [](jobs::Spec& spec) { spec.types = std::vector<std::string>{"large"}; });
+  const PlacingRules::Place a{"n-1", "small", "a", false}, b{"n-2", "small", "b", false},
+      spot{"n-3", "small", "a", true};
+  const auto rule = [&](auto history) {
+    PlacingRules rules({{"red", 0, 7, 0, 0}});
+    history(rules);
+    return rules.broken().empty()
+               ? ""
+               : rules.broken().front().substr(0, rules.broken().front().find(' '));
+  };
+  EXPECT_EQ(rule([&](auto& r) {
+              r.see(a, tasks({{"j-1", 0}}), field_, 1);
+              r.see(a, {}, field_, 2);
+              r.see(b, tasks({{"j-1", 0}}), field_, 3);
+              r.gone("n-2");
+              r.see(spot, tasks({{"j-1", 0}, {"j-1", 1}}), field_, 4);
+              r.see(b, tasks({{"j-3", 0}, {"j-3", 1}}), field_, 5);
+            }),
+            "quota")
+      << "eight cores of seven, and nothing else";
+  EXPECT_EQ(rule([&](auto& r) {
+              r.see(a, tasks({{"j-1", 0}}), field_, 1);
+              r.see(b, tasks({{"j-1", 0}}), field_, 2);
+            }),
+            "ran_twice");
+  EXPECT_EQ(rule([&](auto& r) {
+              r.see(a, tasks({{"j-2", 0}}), field_, 1);
+              r.see(b, tasks({{"j-2", 1}}), field_, 2);
+            }),
+            "wrong_place");
+  EXPECT_EQ(rule([&](auto& r) { r.see(spot, tasks({{"j-2", 0}}), field_, 1); }), "wrong_place");
+  EXPECT_EQ(rule([&](auto& r) { r.see(a, tasks({{"j-5", 0}}), field_, 1); }), "wrong_place");
+  EXPECT_EQ(rule([&](auto& r) {
+              r.see(a, tasks({{"j-3", 0}, {"j-3", 1}, {"j-3", 2}}), field_, 1);
+            }),
+            "wrong_place");
+  EXPECT_EQ(rule([&](auto& r) { r.see(a, tasks({{"j-4", 0}}), field_, 1); }), "too_early");
+  for (std::uint32_t task = 0; task < 4; ++task) field_.finish({"j-1", task});
+  EXPECT_EQ(rule([&](auto& r) { r.see(a, tasks({{"j-4", 0}}), field_, 1); }), "");
+}
+
+}  // namespace
+}  // namespace reachramp::lab
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -1,4 +1,4 @@
-// Three real processes against the stand-ins; the leader is killed while work runs. With
+// Three real processes against the lab's models; the leader is killed while work runs. With
 // REACHRAMP_PRODUCTION naming a program of the version in production, the processes are changed
 // from that one to this one while they serve.
 #include <arpa/inet.h>
@@ -10,8 +10,8 @@
 
 #include <fstream>
 
+#include "loopback/fleet_server.h"
 #include "loopback/state_server.h"
-#include "standins.h"
 #include "state/clock.h"
 
 namespace reachramp::test {
@@ -52,7 +52,17 @@
     }
     state_ = std::make_unique<lab::StateServer>(kStateLimits, 1);
     state_->open("all", state_port);
-    cloud_ = std::make_unique<CloudStandIn>(cloud_port, controllers);
+    lab::FleetSpec fleet;
+    fleet.cloud.catalog = {{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 1, {"a", "b"}}};
+    for (const char* zone : {"a", "b"}) {
+      for (const bool spot : {true, false}) fleet.cloud.capacity[{"small", zone, spot}] = 200;
+    }
+    fleet.cloud.limits = {20, 1};
+    fleet.workers = {0.2, 5, 10, 2, 10};
+    fleet.teams = {{"red", 0, 0, 0, 0}};
+    fleet.controllers = controllers;
+    fleet.worker_port = free_port();
+    cloud_ = std::make_unique<lab::FleetServer>(fleet, cloud_port, 1);
     for (int i = 0; i < kNodes; ++i) {
       std::ofstream file(settings(i));
       file << "node_name = \"" << name(i) << "\"\ndomain = \"a\"\nserve_on = " << local(serve_[i])
@@ -126,8 +136,11 @@
             {"snapshot_cost_s", 0}};
   }
 
-  // Refused at first while no node knows the machine types.
+  // Uploads what is well-formed, then submits. Refused at first while no node knows the machine
+  // types.
   int submit(int node, const Json& body) {
+    const jobs::Spec spec = jobs::decode_spec(body);
+    cloud_->upload({spec, forever_.contains(spec.id) ? 1e9 : spec.estimate_s, false});
     int status = 0;
     within(30, [&] {
       status = ask(node, "POST", "/submissions", &body).status;
@@ -170,7 +183,8 @@
   }
 
   std::unique_ptr<lab::StateServer> state_;
-  std::unique_ptr<CloudStandIn> cloud_;
+  std::set<std::string> forever_;  // jobs whose tasks end only when they are stopped
+  std::unique_ptr<lab::FleetServer> cloud_;
 };
 
 TEST_F(EndToEnd, JobsOutliveTheLeaderAndAnswersAgree) {
@@ -179,7 +193,6 @@
   ASSERT_EQ(submit(1, job("j-2", 3)), 201);
   Json service = job("j-3", 6);
   service["shape"] = "service";
-  cloud_->run_forever("j-3");
   ASSERT_EQ(submit(2, service), 201);
 
   Json bad = job("j-4", 1);
@@ -210,7 +223,7 @@
   for (int i = 0; i < kNodes; ++i) EXPECT_EQ(phase(i, "j-3"), "aborted");
   EXPECT_EQ(submit(2, job("j-1", 20)), 200);
   EXPECT_EQ(ask(0, "POST", "/submissions/j-1/withdraw").body.value("phase", ""), "done");
-  EXPECT_EQ(cloud_->ran_twice(), 0);
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
 void EndToEnd::pipelines(const std::string& name) {
@@ -218,9 +231,7 @@
   ASSERT_TRUE(accepts(0, job(id(0), 3)));
   ASSERT_TRUE(accepts(1, after(id(1), 9, {id(0)})));
   ASSERT_TRUE(accepts(2, after(id(2), 2, {id(1), id(0), id(1)})));
-  cloud_->expect_after(id(1), id(0), 3);
-  cloud_->expect_after(id(2), id(1), 9);
-  cloud_->run_forever(id(3));
+  forever_.insert(id(3));
   ASSERT_TRUE(accepts(0, job(id(3), 1)));
   ASSERT_TRUE(accepts(1, after(id(4), 2, {id(3)})));
   ASSERT_TRUE(accepts(2, after(id(5), 2, {id(4), id(0)})));
@@ -246,8 +257,7 @@
   kill_node(1);
   start(1);
   EXPECT_TRUE(within(60, [&] { return phase(0, "j-large") == "done"; }));
-  EXPECT_EQ(cloud_->too_early(), 0);
-  EXPECT_EQ(cloud_->ran_twice(), 0);
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
 class Roll : public EndToEnd {
@@ -259,7 +269,6 @@
   if (program_ == nullptr) GTEST_SKIP() << "REACHRAMP_PRODUCTION names no program";
   Json service = job("j-stays", 6);
   service["shape"] = "service";
-  cloud_->run_forever("j-stays");
   ASSERT_TRUE(accepts(0, service));
   ASSERT_TRUE(within(30, [&] { return phase(0, "j-stays") == "running"; }));
   program_ = REACHRAMP_PROGRAM;
@@ -281,8 +290,7 @@
     EXPECT_TRUE(within(60, [&] { return phase(i, "j-large" + std::to_string(i)) == "done"; }));
     EXPECT_TRUE(within(10, [&] { return phase(i, "j-stays") == "running"; }));
   }
-  EXPECT_EQ(cloud_->too_early(), 0);
-  EXPECT_EQ(cloud_->ran_twice(), 0);
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
 }  // namespace
