Jobs keep their age across leaders; idle large machines lent; limits reckoned with

With eight leaders in ten minutes everything that waited always looked new, so nothing was late and little was rented; large machines went back while arrays waited; a team behind its limit was reckoned against all machines, so its large jobs made all others late.

Every node keeps marks of when stamps of the state service were given (state/timeline), the leader writes them every 5 s under a key of its own, and ages follow from stamps. A machine kept for large tasks serves small ones once before it goes back. Moore and Hodgson's rule runs under each team's limit first.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -34,6 +34,9 @@
 constexpr double kLookUpAgain_s = 1;
 constexpr int kMostConflicts = 12;
 constexpr std::size_t kLeastOps = 2;  // a job's end
+// What a leader that has seen nothing yet will not know of: at most this much of every job's age,
+// and the time in which nobody led.
+constexpr double kTellTimeline_s = 5;
 
 }  // namespace
 
@@ -45,9 +48,19 @@
                snapshot.all_upgraded ? jobs::Format::compact : jobs::Format::whole),
       buyer_(policy),
       writes_(platform.state_limits.write_rps * kWritesKept, platform.state_limits.write_rps),
+      timeline_(snapshot.timeline),
+      told_timeline_at_(now),
       most_ops_(platform.lasting().txn_ops),
       since_(now),
       jobs_current_at_(now) {
+  if (snapshot.told_timeline) {
+    ledger_.know(state::kTimelineKey, snapshot.told_timeline->stamp);
+    try {
+      timeline_.inherit(snapshot.told_timeline->value, snapshot.told_timeline->stamp, now);
+    } catch (const std::exception& error) {
+      spdlog::error("record {}: {}", state::kTimelineKey, error.what());
+    }
+  }
   if (snapshot.catalog) {
     ledger_.know(kCatalogKey, snapshot.catalog->stamp);
     cluster_.set_catalog(cloud::decode_catalog(snapshot.catalog->value));
@@ -66,8 +79,9 @@
       ledger_.write({entry.key, std::nullopt});
       continue;
     }
-    records[job->second].push_back(
-        {entry.key, *key, entry.stamp, jobs::decode_chunk(*key, entry.value)});
+    records[job->second].push_back({entry.key, *key, entry.stamp,
+                                    jobs::decode_chunk(*key, entry.value),
+                                    timeline_.time_of(entry.stamp, now)});
   }
   for (auto& [job, stored] : records) cluster_.inherit(job, std::move(stored), now);
   for (Index job = 0; job < cluster_.jobs.size(); ++job) pipelines::enter(cluster_, job, now);
@@ -159,7 +173,9 @@
     const jobs::Header header = jobs::decode_header(value);
     Job* job = cluster_.job(id);
     if (job == nullptr) {
-      pipelines::enter(cluster_, cluster_.add_job(header, stamp, now), now);
+      const std::uint64_t born = header.born != 0 ? header.born : stamp;
+      const double seen_at = timeline_.time_of(born, now);
+      pipelines::enter(cluster_, cluster_.add_job(header, stamp, seen_at), now);
       spdlog::info("job {} taken up: {} tasks", id, header.spec.tasks);
     } else if (stamp > job->stamp) {
       job->stamp = stamp;
@@ -177,6 +193,7 @@
 void Leader::on_jobs(const std::vector<state::Change>& changes, double now) {
   for (const state::Change& change : changes) {
     watched_to_ = std::max(watched_to_, change.stamp);
+    timeline_.note(change.stamp, now);
     if (change.value) {
       take_header(change.key, *change.value, change.stamp, now);
       continue;
@@ -198,7 +215,8 @@
   // Absent: it was accepted a moment ago and the watch has yet to bring it.
   if (found.outcome != Outcome::ok || cluster_.job_index.contains(id)) return;
   const bool cancelled = jobs::decode_ending(found.entry.value).cancelled;
-  pipelines::settle(cluster_, id, cancelled ? Fate::cancelled : Fate::done, now);
+  pipelines::settle(cluster_, id, cancelled ? Fate::cancelled : Fate::done,
+                    timeline_.time_of(found.entry.stamp, now));
   looked_up_at_.erase(id);
   reurge_ = replan_ = rebuy_ = true;
 }
@@ -243,6 +261,7 @@
   switch (settlement) {
     case Settlement::done:
       commit_failures_ = conflicts_ = 0;
+      timeline_.note(committed.epoch, now);
       replan_ = true;
       for (const auto& [id, fate] : batch.ended) {
         if (committed.epoch > watched_to_) ended_[id] = committed.epoch;
@@ -280,6 +299,16 @@
   }
 }
 
+// One write every few seconds, while there are jobs whose age it tells.
+void Leader::tell_timeline(double now) {
+  if (now - told_timeline_at_ < kTellTimeline_s || cluster_.job_index.empty()) return;
+  told_timeline_at_ = now;
+  const state::Json value = timeline_.encode(now);
+  if (state::fits(value, platform_.lasting().value_kb)) {
+    ledger_.write({state::kTimelineKey, value});
+  }
+}
+
 // Worth a transaction: room for half a full one. Before a record is put together, not after: at a
 // grown site batches were built ten times a second and thrown away for want of writes.
 void Leader::commit(double now) {
@@ -290,6 +319,7 @@
     return;
   }
   if (all_upgraded_) cluster_.use_compact(now);
+  tell_timeline(now);
   const int affordable = std::min(most_ops_, static_cast<int>(writes_.available(now)));
   if (now < retry_commit_at_ || affordable < std::max(1, most_ops_ / 2)) return;
   auto batch = ledger_.next(cluster_, affordable, writes_.level(now) > 0.6, now);
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -38,6 +38,8 @@
   std::vector<state::Entry> pools;
   std::optional<state::Entry> catalog;
   bool all_upgraded = false;  // no node runs a version that knows whole records only
+  state::Timeline timeline;   // what this node knows of when stamps were given
+  std::optional<state::Entry> told_timeline;  // what earlier leaders wrote of it
 };
 
 class Leader {
@@ -85,6 +87,7 @@
   void gone(const std::string& name, double now);
   void note_throttled(int times, double now);
   void commit(double now);
+  void tell_timeline(double now);
   void take_header(const std::string& key, const state::Json& value, std::uint64_t stamp,
                    double now);
   bool may_start(double now) const;
@@ -96,6 +99,8 @@
   acquire::Buyer buyer_;
   Ledger ledger_;
   state::Bucket writes_;
+  state::Timeline timeline_;
+  double told_timeline_at_;
   Outbox out_;
   std::optional<Batch> in_flight_;
   bool unsettled_ = false;  // an earlier try of the batch in flight may yet be applied
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -6,6 +6,7 @@
 
 #include "controller/leader.h"
 #include "pipelines/needs.h"
+#include "placement/plan.h"
 
 namespace reachramp::controller {
 
@@ -206,7 +207,13 @@
   buyer_.note_exposure(cluster_, now);
   pipelines::foresee(cluster_, now);
   for (const Index index : buyer_.surplus(cluster_, now)) {
-    give_back(index, "it is not needed");
+    if (placement::lend(cluster_, index)) {
+      spdlog::info("machine {} serves small tasks: large ones do not need it",
+                   cluster_.hosts[index]->name);
+      replan_ = true;
+    } else {
+      give_back(index, "it is not needed");
+    }
   }
   for (const acquire::Wish& wish : buyer_.wishes(cluster_, now)) {
     cloud::Hire hire;
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -407,5 +407,55 @@
   EXPECT_TRUE(leader.deposed());
 }
 
+// hunt-7b89-3: with eight leaders in ten minutes all that waited always looked new, so nothing was
+// late, little was rented, and half of the arrays were not done in time.
+TEST_F(LeaderTest, JobsKeepTheirAgeThroughAChangeOfLeaders) {
+  Snapshot first = snapshot({job_entry("j-1", 1)});
+  first.timeline.note(3, -300);
+  first.timeline.note(7, -200);  // its header's stamp
+  first.timeline.note(20, 0);
+  Leader leader = lead(first);
+  EXPECT_NEAR(leader.cluster().jobs[0]->freed_at, -200, 1);
+
+  // It tells what it knows in one write every few seconds, and whoever saw nothing goes by that.
+  std::optional<state::Write> told;
+  for (double now = 1; now < 12; now += 0.5) {
+    leader.on_jobs_current(now);
+    const Outbox out = leader.advance(now);
+    if (!out.commit) continue;
+    for (const state::Write& write : out.commit->transaction.writes) {
+      if (write.key == state::kTimelineKey) told = write;
+    }
+    leader.on_settled(outcome(state::Outcome::ok, 40), now + 0.1);
+  }
+  ASSERT_TRUE(told && told->value);
+  Snapshot second = snapshot({job_entry("j-1", 1)});
+  second.told_timeline = state::Entry{told->key, *told->value, 41};
+  second.timeline.note(41, 1000);
+  const Leader next(platform(), {}, kBaton + 2, second, 1000);
+  EXPECT_NEAR(next.cluster().jobs[0]->freed_at, 1000 - 207.5, 5);
+
+  second.told_timeline->value = "nonsense";
+  const Leader unsure(platform(), {}, kBaton + 2, second, 1000);
+  EXPECT_EQ(unsure.cluster().jobs[0]->freed_at, 1000);
+}
+
+// A gang that ran under an earlier leader could not yield for 30 s after each change of leaders.
+TEST_F(LeaderTest, WhatRanBeforeIsTakenToRunSinceItWasPlaced) {
+  jobs::ChunkRecord record;
+  record.placements = {{0, 1, "n-1"}};
+  Snapshot from = snapshot({job_entry("j-1", 1)},
+                           {{jobs::compact_key("j-1", 0, 1), jobs::encode_compact(record), 9}});
+  from.timeline.note(9, -50);
+  from.timeline.note(20, 0);
+  Leader leader = lead(from);
+  workers::Report running = report(1, 5);
+  running.pieces = {{"j-1", 0, 1, workers::PieceState::running, {}}};
+  leader.on_report(
+      running, [](const wire::Json&) {}, 3);
+  ASSERT_FALSE(leader.cluster().jobs[0]->attempts.empty());
+  EXPECT_NEAR(leader.cluster().jobs[0]->attempts.at(0).running_since, -50, 1);
+}
+
 }  // namespace
 }  // namespace reachramp::controller
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -257,6 +257,9 @@
   if (!pools || (found.outcome != Outcome::ok && found.outcome != Outcome::absent)) {
     return std::nullopt;
   }
+  const state::Found timeline = state_.get(state::kTimelineKey);
+  if (timeline.outcome != Outcome::ok && timeline.outcome != Outcome::absent) return std::nullopt;
+  if (timeline.outcome == Outcome::ok) snapshot.told_timeline = timeline.entry;
   // An old node may have led until now: only a look tells in which form the records may go on.
   const auto upgraded = members_.look();
   if (!upgraded) return std::nullopt;
@@ -264,6 +267,7 @@
   snapshot.tasks = std::move(*tasks);
   snapshot.pools = std::move(*pools);
   if (found.outcome == Outcome::ok) snapshot.catalog = found.entry;
+  snapshot.timeline = state_.timeline();
   return snapshot;
 }
 
--- a/src/pipelines/needs.cpp
+++ b/src/pipelines/needs.cpp
@@ -53,6 +53,11 @@
   // Nothing of it was ever placed before all that it needs was done.
   const bool begun = job.done_count > 0 || job.last_attempt > 0 || !job.attempts.empty();
   bool doomed = false;
+  if (begun && !job.needs.empty()) {
+    for (const auto& [task, attempt] : job.attempts) {
+      job.freed_at = std::max(job.seen_at, std::min(attempt.placed_at, now));
+    }
+  }
   for (Need& need : job.needs) {
     const Job* other = cluster.job(need.id);
     need.fate = begun              ? Fate::done
@@ -83,7 +88,7 @@
         news.emplace_back(job.spec.id, Fate::cancelled);
       } else if (waited && !job.waits()) {
         spdlog::info("job {} may begin", job.spec.id);
-        job.freed_at = now;
+        job.freed_at = std::max(job.freed_at, now);
       }
     }
   }
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -44,7 +44,7 @@
   }
 }
 
-Index Cluster::add_job(const jobs::Header& header, std::uint64_t stamp, double now) {
+Index Cluster::add_job(const jobs::Header& header, std::uint64_t stamp, double seen_at) {
   Index index;
   if (free_jobs_.empty()) {
     index = static_cast<Index>(jobs.size());
@@ -61,7 +61,7 @@
   job.born = header.born != 0 ? header.born : stamp;
   job.done.resize(job.spec.tasks);
   cut(job);
-  job.seen_at = job.freed_at = now;
+  job.seen_at = job.freed_at = seen_at;
   job.priority = job.spec.priority;
   for (const std::string& need : job.spec.needs) {
     job.needs.push_back({need, Fate::unknown});
@@ -78,7 +78,7 @@
   job_index[job.spec.id] = index;
   jobs[index] = std::move(made);
   news.insert(index);
-  if (header.cancelled) cancel(index, now);
+  if (header.cancelled) cancel(index, seen_at);
   return index;
 }
 
@@ -200,6 +200,7 @@
   Attempt attempt;
   attempt.number = number;
   attempt.host = host;
+  attempt.placed_at = now;
   job.attempts[task] = attempt;
   if (job.spec.shape == jobs::Shape::gang) job.last_attempt = std::max(job.last_attempt, number);
   const std::size_t chunk = job.chunk_of(task);
@@ -273,6 +274,11 @@
       continue;
     kept_for_large[{job->smallest, false}] = now + kKeepForLarge_s;
     if (job->spec.spot) kept_for_large[{job->smallest, true}] = now + kKeepForLarge_s;
+    if (job->attempts.size() + job->done_count == job->spec.tasks || !within_limit(*job, 1))
+      continue;
+    for (const auto& host : hosts) {
+      if (host && host->lent && job->fits[host->type]) host->lent = false;
+    }
   }
 }
 
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -38,6 +38,8 @@
   std::uint64_t sent_tick = 0;  // the report whose answer carried the start
   bool stopping = false;
   double wind_down_s = 0;
+  // When it was intended; of one that an earlier leader placed, at the latest.
+  double placed_at = 0;
   double running_since = -1;
 };
 
@@ -85,9 +87,9 @@
   std::uint32_t hint = 0;  // no task below is pending
   std::vector<Chunk> chunks;
   std::vector<Stray> strays;
-  double seen_at = 0;
+  double seen_at = 0;  // when it was accepted, as well as its stamp tells
   std::vector<Need> needs;
-  double freed_at = 0;  // when it was seen first, or the last job that it needs was done
+  double freed_at = 0;  // when it was accepted, or the last job that it needs was done
   double free_by = 0;   // while it waits: when that is expected; kNever: nothing is known
   // The highest of its own and of all that need it.
   jobs::Priority priority = jobs::Priority::normal;
@@ -149,6 +151,8 @@
   bool spot = false;
   HostPhase phase = HostPhase::booting;
   bool draining = false;
+  // Kept for large tasks, of which none needs it now: instead of going back it serves small ones.
+  bool lent = false;
   bool runs = false;     // the cloud lists it as running, whether or not we have heard from it
   double known_at = 0;   // when it was certainly rented
   double rented_at = 0;  // when its charge began, as well as we know
@@ -193,6 +197,7 @@
   jobs::ChunkKey key;
   std::uint64_t stamp = 0;
   jobs::ChunkRecord record;
+  double stored_at = 0;  // at the latest
 };
 
 class Cluster {
@@ -237,7 +242,7 @@
   bool has_room(Index job, std::uint32_t task, std::uint64_t attempt, Index host) const;
   // What was intended is stored: the task may start.
   void make_durable(Job& job, std::uint32_t task);
-  Index add_job(const jobs::Header& header, std::uint64_t stamp, double now);
+  Index add_job(const jobs::Header& header, std::uint64_t stamp, double seen_at);
   void remove_job(Index index);
   Job* job(const std::string& id);
   Index add_host(const std::string& name, double now);
@@ -256,10 +261,14 @@
   void cancel(Index job, double now);
   // Asks for the attempt's end; whoever stops first sets how long it may wind down.
   void stop(Index job, std::uint32_t task, double wind_down_s);
-  // Notes the types that large tasks need, and forgets those that none has needed for long.
+  // Notes the types that large tasks need, and forgets those that none has needed for long. What
+  // was lent is theirs again as soon as one of them waits.
   void keep_for_large(double now);
   // Whether the type is kept for larger tasks than the job's.
   bool is_kept_from(const Job& job, Index type, bool spot) const;
+  bool is_kept_from(const Job& job, const Host& host) const {
+    return !host.lent && is_kept_from(job, host.type, host.spot);
+  }
   void touch(Index job, std::uint32_t task, double now);
   bool chunk_is_stored(const Job& job, std::uint32_t task) const;
   jobs::ChunkRecord chunk_record(const Job& job, std::size_t chunk) const;
--- a/src/placement/cluster_records.cpp
+++ b/src/placement/cluster_records.cpp
@@ -161,6 +161,7 @@
       place(index, task, placement.attempt, add_host(placement.host, now), now);
       Attempt& attempt = job.attempts[task];
       attempt.inherited = true;
+      attempt.placed_at = stored.stored_at;
       make_durable(job, task);
       attempt.stopping = job.cancelled;
       told.push_back(task);
--- a/src/placement/openings.cpp
+++ b/src/placement/openings.cpp
@@ -22,17 +22,18 @@
 
 Openings::Openings(const Cluster& cluster, double now)
     : cluster_(cluster), now_(now), kept_(cluster.hosts.size()) {
-  std::map<std::tuple<bool, double, Index>, std::vector<Index>> by_kind;
+  std::map<std::tuple<bool, double, Index, bool>, std::vector<Index>> by_kind;
   for (Index i = 0; i < cluster.hosts.size(); ++i) {
     const auto& host = cluster.hosts[i];
     if (!host || !usable(cluster, *host, now)) continue;
     const auto* type = cluster.type_of(*host);
     if (type == nullptr) continue;
-    by_kind[{!host->spot, type->cpus, host->type}].push_back(i);
+    by_kind[{!host->spot, type->cpus, host->type, host->lent}].push_back(i);
     ++up_[{host->type, host->zone, host->spot}];
   }
   for (auto& [kind, hosts] : by_kind) {
-    shelves_.push_back({std::get<2>(kind), !std::get<0>(kind), std::move(hosts), {}});
+    shelves_.push_back(
+        {std::get<2>(kind), !std::get<0>(kind), std::get<3>(kind), std::move(hosts), {}});
   }
   grown();
 }
@@ -59,11 +60,17 @@
   return at != job.failed_on.end() && now_ < at->second;
 }
 
+// All machines of a shelf are alike in this.
+bool Openings::open_to(const Job& job, const Shelf& shelf) const {
+  return (job.spec.spot || !shelf.spot) && job.fits[shelf.type] &&
+         (shelf.lent || !cluster_.is_kept_from(job, shelf.type, shelf.spot));
+}
+
 std::vector<Index> Openings::candidates(const Job& job) {
   std::vector<Index> found;
   std::vector<Index> without_image;
   for (Shelf& shelf : shelves_) {
-    if (!shelf.most.holds(job.need) || !allows(cluster_, job, shelf.type, shelf.spot)) continue;
+    if (!shelf.most.holds(job.need) || !open_to(job, shelf)) continue;
     look(shelf, [&](Index i) {
       const Host& host = *cluster_.hosts[i];
       if (!host.free.holds(job.need) || !in_zone(job, host.zone) || avoided(job, i)) return;
@@ -78,8 +85,7 @@
 std::vector<Index> Openings::growing(const Job& job) {
   std::vector<Index> found;
   for (Shelf& shelf : shelves_) {
-    if (shelf.most.cpus <= kCrumb || shelf.most.ram_gb <= kCrumb ||
-        !allows(cluster_, job, shelf.type, shelf.spot)) {
+    if (shelf.most.cpus <= kCrumb || shelf.most.ram_gb <= kCrumb || !open_to(job, shelf)) {
       continue;
     }
     look(shelf, [&](Index i) {
--- a/src/placement/openings.h
+++ b/src/placement/openings.h
@@ -35,6 +35,7 @@
   struct Shelf {
     Index type = kNone;
     bool spot = false;
+    bool lent = false;
     std::vector<Index> hosts;
     Resources most;  // no machine here has more of anything free
   };
@@ -43,6 +44,7 @@
   template <class Use>
   void look(Shelf& shelf, Use use);
   bool avoided(const Job& job, Index host) const;
+  bool open_to(const Job& job, const Shelf& shelf) const;
 
   const Cluster& cluster_;
   const double now_;
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -1,6 +1,7 @@
 #include "placement/order.h"
 
 #include <algorithm>
+#include <optional>
 #include <queue>
 
 #include "placement/plan.h"
@@ -32,12 +33,30 @@
   return cores;
 }
 
+// Cores, by team, that its arrays can count on: what its limit leaves beside gangs and services, or
+// all of the common ones. Measured against all machines alone, a team behind its limit seemed to
+// have room for its largest jobs, and all of its jobs were late with them.
+std::vector<double> cores_by_team(const Cluster& cluster, double common) {
+  std::vector<double> beside(cluster.used.size());
+  for (const auto& job : cluster.jobs) {
+    if (!job || job->team == kNone || job->spec.shape == jobs::Shape::array) continue;
+    beside[job->team] += job->need.cpus * static_cast<double>(job->attempts.size());
+  }
+  std::vector<double> cores(beside.size(), common);
+  for (Index team = 0; team < cores.size(); ++team) {
+    const double limit = cluster.platform.teams[team].cpus_max;
+    if (limit > 0) cores[team] = std::clamp(limit - beside[team], 1.0, std::max(1.0, common));
+  }
+  return cores;
+}
+
 // Aims count jobs, whatever their size: where arrays cannot all be in time, the largest wait.
 // `order` is sorted by guarantee, priority and urgency.
 void favour_the_many(const Cluster& cluster, std::vector<Index>& order,
                      const std::vector<bool>& guaranteed, double now) {
   const double cores = common_cores(cluster, now);
   if (cores <= 0) return;
+  const std::vector<double> by_team = cores_by_team(cluster, cores);
   const auto rank = [&](Index i) {
     return std::pair(!guaranteed[i], -static_cast<int>(cluster.jobs[i]->priority));
   };
@@ -45,18 +64,31 @@
     const auto end =
         std::find_if(begin, order.end(), [&](Index i) { return rank(i) != rank(*begin); });
     std::vector<Index> arrays;
-    std::vector<Claim> claims;
     for (auto at = begin; at != end; ++at) {
       const Job& job = *cluster.jobs[*at];
-      const double due = urgency(job, now);
-      if (job.spec.shape != jobs::Shape::array || due == kNever) continue;
-      arrays.push_back(*at);
-      const double tasks = job.spec.tasks - job.done_count;
-      claims.push_back({tasks * job.need.cpus * job.spec.estimate_s / cores, due});
+      if (job.spec.shape == jobs::Shape::array && urgency(job, now) != kNever)
+        arrays.push_back(*at);
     }
-    const std::vector<bool> dropped = dropped_for_the_rest(claims, now);
+    // First what each team's limit does not let through in time, then of the rest what all machines
+    // do not.
     std::vector<bool> later(cluster.jobs.size());
-    for (std::size_t i = 0; i < arrays.size(); ++i) later[arrays[i]] = dropped[i];
+    const auto drop = [&](double of, std::optional<Index> team) {
+      std::vector<Index> of_these;
+      std::vector<Claim> claims;
+      for (const Index i : arrays) {
+        const Job& job = *cluster.jobs[i];
+        if (later[i] || (team && job.team != *team)) continue;
+        const double tasks = job.spec.tasks - job.done_count;
+        of_these.push_back(i);
+        claims.push_back({tasks * job.need.cpus * job.spec.estimate_s / of, urgency(job, now)});
+      }
+      const std::vector<bool> dropped = dropped_for_the_rest(claims, now);
+      for (std::size_t i = 0; i < of_these.size(); ++i) later[of_these[i]] = dropped[i];
+    };
+    for (Index team = 0; team < by_team.size(); ++team) {
+      if (by_team[team] < cores) drop(by_team[team], team);
+    }
+    drop(cores, std::nullopt);
     // Before those that are late already, which have no due at all.
     const auto late =
         std::find_if(begin, end, [&](Index i) { return urgency(*cluster.jobs[i], now) == kNever; });
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -215,7 +215,19 @@
 
 bool allows(const Cluster& cluster, const Job& job, const Host& host) {
   return cluster.type_of(host) != nullptr && in_zone(job, host.zone) &&
-         allows(cluster, job, host.type, host.spot);
+         (job.spec.spot || !host.spot) && job.fits[host.type] && !cluster.is_kept_from(job, host);
+}
+
+bool lend(Cluster& cluster, Index index) {
+  Host& host = *cluster.hosts[index];
+  if (host.lent || cluster.type_of(host) == nullptr) return false;
+  host.lent = std::any_of(cluster.jobs.begin(), cluster.jobs.end(), [&](const auto& job) {
+    return job && !job->cancelled && !job->waits() && job->spec.shape == jobs::Shape::array &&
+           job->attempts.size() + job->done_count < job->spec.tasks &&
+           cluster.is_kept_from(*job, host) && (job->spec.spot || !host.spot) &&
+           job->fits[host.type] && in_zone(*job, host.zone) && cluster.within_limit(*job, 1);
+  });
+  return host.lent;
 }
 
 int plan(Cluster& cluster, double now) {
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -16,6 +16,10 @@
 bool in_zone(const Job& job, Index zone);
 bool allows(const Cluster& cluster, const Job& job, const Host& host);
 
+// Lends an idle machine that large tasks do not need, and that would go back, to small ones that
+// wait. Once: if none takes it, or when they are through, it does go back.
+bool lend(Cluster& cluster, Index host);
+
 // Places what fits, marks machines to be drained, stops what must leave them. Returns how many
 // attempts were placed.
 int plan(Cluster& cluster, double now);
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -231,6 +231,65 @@
   EXPECT_EQ(cluster_.jobs[job]->attempts.size(), 4u);
 }
 
+// hunt-7b89-3: three machines that large tasks had needed before went back as "not needed" while
+// ten arrays waited.
+TEST_F(Plan, AMachineThatWouldGoBackIsLentOnce) {
+  const Index host = machine("large", "a", false);
+  jobs::Header big = header(1, 30);
+  big.spec.team = "free";
+  const Index large = cluster_.add_job(big, 1, 0);
+  EXPECT_EQ(plan(cluster_, 1), 1);
+  cluster_.end_attempt(large, 0, 2);
+  cluster_.mark_done(large, 0, 2);
+  EXPECT_FALSE(lend(cluster_, host)) << "nobody waits";
+  jobs::Header small = header(4, 1);
+  const Index job = cluster_.add_job(small, 2, 2);
+  cluster_.jobs[job]->cancelled = true;
+  EXPECT_FALSE(lend(cluster_, host)) << "cancelled";
+  cluster_.jobs[job]->cancelled = false;
+  EXPECT_EQ(plan(cluster_, 3), 0);
+  EXPECT_TRUE(lend(cluster_, host));
+  EXPECT_EQ(plan(cluster_, 3.5), 4);
+  EXPECT_FALSE(lend(cluster_, host)) << "once, or it would never go back";
+
+  // A large task that waits has it back as soon as it is free.
+  big.spec.id = "j-9";
+  cluster_.add_job(big, 3, 4);
+  jobs::Header more = header(2, 1);
+  more.spec.id = "j-10";
+  more.spec.team = "free";
+  cluster_.add_job(more, 4, 4);
+  EXPECT_EQ(plan(cluster_, 5), 0);
+  for (std::uint32_t task = 0; task < 4; ++task) {
+    cluster_.end_attempt(job, task, 6);
+    cluster_.mark_done(job, task, 6);
+  }
+  EXPECT_EQ(plan(cluster_, 7), 1);
+  EXPECT_EQ(cluster_.jobs[cluster_.job_index["j-9"]]->attempts.size(), 1u);
+}
+
+// hunt-7b89-5: against all machines there was time for all jobs of a team, behind its limit for
+// none.
+TEST_F(Plan, WhatATeamsLimitCannotBringInTimeWaits) {
+  platform_.teams[0].cpus_max = 4;
+  settings::Objective soon;
+  soon.kind = settings::Objective::Kind::finished;
+  soon.within_s = 30;
+  platform_.objectives = {soon};
+  Cluster cluster(platform_, 1, jobs::Format::compact);
+  cluster.set_catalog(cluster_.catalog);
+  for (int i = 0; i < 5; ++i) test::add_machine(cluster, "small", "a", true);
+  jobs::Header big = header(12, 1);
+  cluster.add_job(big, 1, 0);
+  jobs::Header one = header(3, 1);
+  one.spec.id = "j-8";
+  cluster.add_job(one, 2, 0.5);
+  one.spec.id = "j-9";
+  cluster.add_job(one, 3, 0.5);
+  const std::vector<Index> order = service_order(cluster, 1).order;
+  EXPECT_EQ(order, (std::vector<Index>{1, 2, 0}));
+}
+
 // A job that had failed once on every machine was never placed again.
 TEST_F(Plan, AMachineIsAvoidedForAWhileOnly) {
   const Index host = machine("small", "a");
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -144,20 +144,30 @@
       continue;
     }
     wire::Answer answer = http_.call(method, target, body, limit);
-    if (answer.answered) note(answer.status == 503);
+    if (answer.answered) note(answer);
     if (answer.status == 429 && throttled != nullptr) ++*throttled;
     if (answer.status != 429 || attempt >= 4) return answer;
     std::this_thread::sleep_for(jittered(0.04 * (1 << attempt)));
   }
 }
 
-void Client::note(bool refused) {
+void Client::note(const wire::Answer& answer) {
+  const Json* epoch = answer.body.is_object() ? wire::find(answer.body, "epoch") : nullptr;
+  const double now = steady_now();
   std::lock_guard lock(mutex_);
-  if (!refused) {
+  if (answer.status != 503) {
     refused_since_ = -1;
   } else if (refused_since_ < 0) {
-    refused_since_ = steady_now();
+    refused_since_ = now;
   }
+  if (epoch != nullptr && epoch->is_number_unsigned()) {
+    timeline_.note(epoch->get<std::uint64_t>(), now);
+  }
+}
+
+Timeline Client::timeline() const {
+  std::lock_guard lock(mutex_);
+  return timeline_;
 }
 
 double Client::refused_for(double now) const {
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "state/bucket.h"
+#include "state/timeline.h"
 #include "wire/http.h"
 
 namespace reachramp::state {
@@ -99,17 +100,20 @@
 
   // How long all that was answered has been refused; 0 if the last answer was not a refusal.
   double refused_for(double now) const;
+  // What the answers so far tell of when stamps were given.
+  Timeline timeline() const;
 
  private:
   wire::Answer call(const char* method, const std::string& target, const Json* body,
                     std::chrono::milliseconds limit, int* throttled = nullptr);
 
-  void note(bool refused);
+  void note(const wire::Answer& answer);
 
   wire::Client http_;
   mutable std::mutex mutex_;
   Bucket bucket_;
   double refused_since_ = -1;
+  Timeline timeline_;
 };
 
 }  // namespace reachramp::state
--- /dev/null
+++ b/src/state/timeline.h
@@ -0,0 +1,42 @@
+// When stamps of the state service were given, in this process's steady time, so that the age of a
+// record follows from its stamp. No time of day is involved: those of two nodes differ. Every
+// answer of the service that tells its epoch is a mark; so whoever has served for a while knows
+// when the jobs of that time were accepted, whether or not it led. What nobody who lives has seen
+// is carried by one small record that the leader writes now and then.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "wire/message.h"
+
+namespace reachramp::state {
+
+inline constexpr const char* kTimelineKey = "timeline";
+
+class Timeline {
+ public:
+  // The service has just told that it has come as far as `epoch`. Seconds.
+  void note(std::uint64_t epoch, double now);
+  // Takes over what a leader wrote under `stamp`, for the time before our own marks. How long no
+  // leader wrote and we did not look, nobody knows: it counts for nothing. Throws wire::BadMessage.
+  void inherit(const wire::Json& record, std::uint64_t stamp, double now);
+  // When the stamp was given, at the latest; `now` for one that no mark has reached yet.
+  double time_of(std::uint64_t stamp, double now) const;
+
+  // Marks as [stamp, milliseconds before `now`], the oldest first.
+  wire::Json encode(double now) const;
+
+ private:
+  // By `at` the service had come as far as `stamp`; the last mark of a stamp is when it was still
+  // there. Ascending in both.
+  struct Mark {
+    std::uint64_t stamp = 0;
+    double at = 0;
+  };
+  void thin(double now);
+
+  std::vector<Mark> marks_;
+};
+
+}  // namespace reachramp::state
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -179,10 +179,14 @@
   }
   const Seen seen = seen_as(piece.state);
   if (attempt->inherited || attempt->seen != seen) cluster.news.insert(found->second);
+  // Whoever led when it began to run knew; from its record we know when it was placed.
+  const bool ran_before = attempt->inherited && attempt->seen == Seen::nowhere;
   attempt->inherited = false;
   attempt->sent = true;
   attempt->seen = seen;
-  if (attempt->seen == Seen::running && attempt->running_since < 0) attempt->running_since = now;
+  if (attempt->seen == Seen::running && attempt->running_since < 0) {
+    attempt->running_since = ran_before ? attempt->placed_at : now;
+  }
   if (attempt->seen == Seen::running || attempt->seen == Seen::saving) job->gang_started = true;
   if (attempt->seen != Seen::fetching) host.images.insert(job->spec.image);
 }
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -196,6 +196,8 @@
     snapshot.pools = store_.list("pool/");
     snapshot.catalog = store_.list("catalog").front();
     snapshot.all_upgraded = upgraded();
+    const auto told = store_.list(state::kTimelineKey);
+    if (!told.empty()) snapshot.told_timeline = told.front();
     position_ = store_.epoch();
     leader_ = std::make_unique<Leader>(platform_, settings::Policy{}, won.epoch, snapshot, now_);
   }
