--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -41,18 +41,27 @@
 }  // namespace
 
 Leader::Leader(const settings::Platform& platform, const settings::Policy& policy,
-               std::uint64_t baton, const Snapshot& snapshot, double now)
+               std::uint64_t baton, const Snapshot& snapshot, double now,
+               const levels::Speech& speech)
     : platform_(platform),
       policy_(policy),
       cluster_(platform_, baton,
                snapshot.all_upgraded ? jobs::Format::compact : jobs::Format::whole),
       buyer_(policy),
       writes_(platform.state_limits.write_rps * kWritesKept, platform.state_limits.write_rps),
+      speech_(speech),
       timeline_(snapshot.timeline),
       told_timeline_at_(now),
       most_ops_(platform.lasting().txn_ops),
       since_(now),
       jobs_current_at_(now) {
+  level_ =
+      levels::decode_stored(snapshot.level ? std::optional(snapshot.level->value) : std::nullopt);
+  if (const std::string reason = levels::locked_out(level_, speech_); !reason.empty()) {
+    throw std::runtime_error(reason);
+  }
+  all_upgraded_ = snapshot.all_upgraded || level_.level >= levels::kAges;
+  if (snapshot.level) ledger_.know(levels::kLevelKey, snapshot.level->stamp);
   if (snapshot.told_timeline) {
     ledger_.know(state::kTimelineKey, snapshot.told_timeline->stamp);
     try {
@@ -98,6 +107,15 @@
     asked_at_[hire.name] = now;
     out_.cloud.push_back({CloudOrder::Kind::hire, hire, {}});
   }
+  const auto stale = [&](const state::Entry& entry) {
+    return levels::is_stale(entry.key, entry.value, level_.writes);
+  };
+  // A version that knows of no levels cannot be locked out, only be seen and mended after.
+  if (level_.settled && (std::any_of(snapshot.tasks.begin(), snapshot.tasks.end(), stale) ||
+                         std::any_of(snapshot.pools.begin(), snapshot.pools.end(), stale))) {
+    spdlog::error("level {}: an older version has led since the step", level_.level);
+    write_level({level_.level, level_.writes, false}, {});
+  }
   spdlog::info("leading with baton {}: {} jobs, {} machines known", baton,
                cluster_.job_index.size(), cluster_.host_index.size());
 }
@@ -262,6 +280,14 @@
     case Settlement::done:
       commit_failures_ = conflicts_ = 0;
       timeline_.note(committed.epoch, now);
+      for (const Note& note : batch.notes) {
+        if (note.key != levels::kLevelKey) continue;
+        level_ = levels::decode_stored(note.value);
+        ledger_.step_to(level_.writes);
+        stale_asked_at_ = claims_asked_at_ = -1e9;
+        spdlog::info("level {}: written {}, {}", level_.level, level_.writes,
+                     level_.settled ? "settled" : "what is older is being moved");
+      }
       replan_ = true;
       for (const auto& [id, fate] : batch.ended) {
         if (committed.epoch > watched_to_) ended_[id] = committed.epoch;
@@ -301,7 +327,10 @@
 
 // One write every few seconds, while there are jobs whose age it tells.
 void Leader::tell_timeline(double now) {
-  if (now - told_timeline_at_ < kTellTimeline_s || cluster_.job_index.empty()) return;
+  if (!levels::has(level_, levels::kAges) || now - told_timeline_at_ < kTellTimeline_s ||
+      cluster_.job_index.empty()) {
+    return;
+  }
   told_timeline_at_ = now;
   const state::Json value = timeline_.encode(now);
   if (state::fits(value, platform_.lasting().value_kb)) {
@@ -364,6 +393,7 @@
     bought_at_ = now;
     buy(now);
   }
+  watch_levels(now);
   commit(now);
   std::erase_if(to_hire_, [&](const auto& pending) {
     if (!ledger_.is_stored(pending.first)) return false;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -6,11 +6,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "acquire/buyer.h"
 #include "controller/ledger.h"
+#include "levels/levels.h"
 #include "placement/cluster.h"
 #include "settings/settings.h"
 #include "workers/report.h"
@@ -30,6 +32,8 @@
   std::vector<std::string> look_up;  // jobs whose ends are to be read
   std::vector<std::string> greet;    // machines to be sent empty orders that carry our baton
   bool resign = false;
+  bool read_claims = false;  // what the processes on all nodes speak
+  bool read_stale = false;   // records that are not of the level's form, by strong reads
 };
 
 struct Snapshot {
@@ -37,6 +41,7 @@
   std::vector<state::Entry> tasks;
   std::vector<state::Entry> pools;
   std::optional<state::Entry> catalog;
+  std::optional<state::Entry> level;
   bool all_upgraded = false;  // no node runs a version that knows whole records only
   state::Timeline timeline;   // what this node knows of when stamps were given
   std::optional<state::Entry> told_timeline;  // what earlier leaders wrote of it
@@ -44,8 +49,9 @@
 
 class Leader {
  public:
+  // Throws where the stored level is not one that `speech` has.
   Leader(const settings::Platform& platform, const settings::Policy& policy, std::uint64_t baton,
-         const Snapshot& snapshot, double now);
+         const Snapshot& snapshot, double now, const levels::Speech& speech = {});
 
   // A worker's report; `answer` is called with the response, now or as soon as intents that it
   // should carry are durable. Returns false if the worker has seen a higher baton: we are deposed.
@@ -59,6 +65,10 @@
   void on_all_upgraded() { all_upgraded_ = true; }
   // All cancellations until then are known.
   void on_jobs_current(double asked_at) { jobs_current_at_ = asked_at; }
+  void on_claims(const std::vector<state::Entry>& entries);
+  // All stale records that strong reads showed, which began after this leader had asked for them.
+  void on_stale(const std::vector<state::Entry>& entries, double now);
+  const levels::Stored& level() const { return level_; }
   void on_settled(const state::Committed& committed, double now);
   void on_catalog(const cloud::Catalog& catalog, double now);
   void on_list(const std::vector<cloud::Listed>& listed, double asked_at, double now);
@@ -88,6 +98,10 @@
   void note_throttled(int times, double now);
   void commit(double now);
   void tell_timeline(double now);
+  void watch_levels(double now);
+  void write_level(const levels::Stored& to,
+                   std::vector<std::pair<std::string, std::uint64_t>> given);
+  void renew_record(const std::string& key, std::uint64_t stamp, double now);
   void take_header(const std::string& key, const state::Json& value, std::uint64_t stamp,
                    double now);
   bool may_start(double now) const;
@@ -99,6 +113,12 @@
   acquire::Buyer buyer_;
   Ledger ledger_;
   state::Bucket writes_;
+  levels::Speech speech_;
+  levels::Stored level_;
+  std::string refused_step_;       // as last logged
+  std::set<std::string> renewed_;  // records of tasks that the step has removed
+  double claims_asked_at_ = -1e9;
+  double stale_asked_at_ = -1e9;
   state::Timeline timeline_;
   double told_timeline_at_;
   Outbox out_;
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -124,7 +124,11 @@
   }
   spdlog::info("hire {}: {} of {} {} {} in {}", hire.name, hired.machines.size(), hire.count,
                hire.spot ? "spot" : "ordinary", hire.type, hire.zone);
-  ledger_.write({pool_key(pool), state::Json{{"open", false}}});
+  if (levels::has(level_, levels::kClosedPools)) {
+    ledger_.write({pool_key(pool), std::nullopt});
+  } else {
+    ledger_.write({pool_key(pool), state::Json{{"open", false}}});
+  }
   rebuy_ = replan_ = true;
 }
 
--- /dev/null
+++ b/src/controller/leader_levels.cpp
@@ -0,0 +1,93 @@
+// The leader and the levels of the stored state: when to step, and moving what is of an older form.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "controller/leader.h"
+
+namespace reachramp::controller {
+
+namespace {
+
+// Claims are read often while there is a step to take, else to see a hold that an operator has set.
+constexpr double kClaimsSoon_s = 3;
+constexpr double kClaimsLater_s = 20;
+constexpr double kStaleEvery_s = 4;
+
+}  // namespace
+
+void Leader::watch_levels(double now) {
+  if (!all_upgraded_) return;  // 0.2.0 may yet lead
+  const bool restless = !level_.settled || level_.level < std::min(speech_.newest, levels::kNewest);
+  if (now - claims_asked_at_ >= (restless ? kClaimsSoon_s : kClaimsLater_s)) {
+    claims_asked_at_ = now;
+    out_.read_claims = true;
+  }
+  if (!level_.settled && now - stale_asked_at_ >= kStaleEvery_s) {
+    stale_asked_at_ = now;
+    out_.read_stale = true;
+  }
+}
+
+// In a batch of its own or with others: what stands in the same transaction is of the level before,
+// and its condition on the level's stamp holds for both.
+void Leader::write_level(const levels::Stored& to,
+                         std::vector<std::pair<std::string, std::uint64_t>> given) {
+  if (ledger_.is_pending(levels::kLevelKey)) return;
+  ledger_.write({levels::kLevelKey, levels::encode_stored(to), std::move(given)});
+}
+
+void Leader::on_claims(const std::vector<state::Entry>& entries) {
+  if (!all_upgraded_) return;
+  std::vector<std::string> nodes{platform_.node_name};
+  for (const settings::Member& member : platform_.members) nodes.push_back(member.name);
+  auto step = levels::next_step(level_, levels::decode_claims(entries), nodes);
+  if (!step) {
+    refused_step_.clear();
+  } else if (step->refused.empty()) {
+    if (step->to.level <= speech_.newest) write_level(step->to, std::move(step->given));
+  } else if (step->refused != refused_step_) {
+    refused_step_ = step->refused;
+    spdlog::error("level {} does not step back: {}", level_.level, step->refused);
+  }
+}
+
+// Either shows that nothing is left, or moves what is, as far as it can be moved now.
+void Leader::on_stale(const std::vector<state::Entry>& entries, double now) {
+  if (level_.settled || ledger_.is_pending(levels::kLevelKey)) return;
+  const auto stale = std::count_if(entries.begin(), entries.end(), [&](const auto& entry) {
+    return levels::is_stale(entry.key, entry.value, level_.writes);
+  });
+  if (stale == 0) {
+    write_level(levels::settle(level_), {});
+    return;
+  }
+  spdlog::info("level {}: {} records are of another form", level_.level, stale);
+  for (const state::Entry& entry : entries) {
+    if (!levels::is_stale(entry.key, entry.value, level_.writes)) continue;
+    renew_record(entry.key, entry.stamp, now);
+  }
+}
+
+// A record of tasks goes once newer ones hold all that it says; others go at once.
+void Leader::renew_record(const std::string& key, std::uint64_t stamp, double now) {
+  // The read may be older than what we have stored since.
+  const auto chunk = jobs::parse_chunk_key(key);
+  const bool current =
+      chunk ? !renewed_.contains(key) : ledger_.stamp_of(key) == std::optional(stamp);
+  if (ledger_.is_pending(key) || !current) return;
+  const auto at = chunk ? cluster_.job_index.find(chunk->job) : cluster_.job_index.end();
+  if (at != cluster_.job_index.end()) {
+    if (cluster_.over.contains(at->second)) return;  // its end removes it
+    if (!cluster_.renew_older(at->second, stamp, now)) return;
+    std::erase_if(cluster_.jobs[at->second]->strays,
+                  [&](const placement::Stray& stray) { return stray.key == key; });
+  }
+  if (chunk) {
+    renewed_.insert(key);
+    ledger_.know(key, stamp);
+  }
+  ledger_.write({key, std::nullopt});
+}
+
+}  // namespace reachramp::controller
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -411,6 +411,7 @@
 // late, little was rented, and half of the arrays were not done in time.
 TEST_F(LeaderTest, JobsKeepTheirAgeThroughAChangeOfLeaders) {
   Snapshot first = snapshot({job_entry("j-1", 1)});
+  first.level = state::Entry{levels::kLevelKey, levels::encode_stored({4, 4, true}), 6};
   first.timeline.note(3, -300);
   first.timeline.note(7, -200);  // its header's stamp
   first.timeline.note(20, 0);
--- a/src/controller/ledger.cpp
+++ b/src/controller/ledger.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "levels/levels.h"
 #include "pipelines/needs.h"
 
 namespace reachramp::controller {
@@ -53,7 +54,12 @@
 }  // namespace
 
 struct Ledger::Builder {
-  Builder(const Cluster& cluster, int most) : ops(most) { require(kLeaderKey, cluster.baton); }
+  // Whatever is written has the form of a level, so all of it is conditional on the level's stamp:
+  // a leader that stood still across a step writes nothing of the old form afterwards.
+  Builder(const Cluster& cluster, std::uint64_t level, int most) : ops(most) {
+    require(kLeaderKey, cluster.baton);
+    require(levels::kLevelKey, level);
+  }
 
   bool has_room(std::size_t more = 1) const {
     return batch.transaction.writes.size() + more <= static_cast<std::size_t>(ops) &&
@@ -73,7 +79,22 @@
   std::set<std::string> required;
 };
 
-void Ledger::write(Note note) { notes_[note.key] = std::move(note.value); }
+void Ledger::write(Note note) {
+  const std::string key = note.key;
+  notes_[key] = std::move(note);
+}
+
+// The simulated cluster wrote a closed pool as before, one transaction after the step to having none.
+void Ledger::step_to(std::uint32_t level) {
+  for (auto& [key, note] : notes_) {
+    if (note.value && levels::is_stale(key, *note.value, level)) note.value.reset();
+  }
+}
+
+std::optional<std::uint64_t> Ledger::stamp_of(const std::string& key) const {
+  const auto at = stamps_.find(key);
+  return at == stamps_.end() ? std::nullopt : std::optional(at->second);
+}
 
 bool Ledger::is_stored(const std::string& key) const {
   return !notes_.contains(key) && stamps_.contains(key);
@@ -160,18 +181,18 @@
 
 std::optional<Batch> Ledger::next(Cluster& cluster, int most, bool spare, double now) {
   if (now < not_before_) return std::nullopt;
-  Builder builder(cluster, most);
+  Builder builder(cluster, stamp_of(levels::kLevelKey).value_or(0), most);
   for (const Index index : cluster.over) {
     if (!builder.has_room(2)) break;
     add_end(cluster, index, builder);
   }
-  for (const auto& [key, value] : notes_) {
+  for (const auto& [key, note] : notes_) {
     if (!builder.has_room()) break;
     if (avoids(key, now)) continue;
-    const auto known = stamps_.find(key);
-    builder.require(key, known == stamps_.end() ? 0 : known->second);
-    builder.write(key, value);
-    builder.batch.notes.push_back({key, value});
+    builder.require(key, stamp_of(key).value_or(0));
+    for (const auto& [other, stamp] : note.given) builder.require(other, stamp);
+    builder.write(key, note.value);
+    builder.batch.notes.push_back(note);
   }
   for (const ChunkRef& ref : chunks_by_need(cluster, now)) {
     if (!builder.has_room()) break;
@@ -182,6 +203,15 @@
   return std::move(builder.batch);
 }
 
+// Notes that were to be written only while the key stood as it was. Whether there were any.
+bool Ledger::drop_given(const std::string& key) {
+  return std::erase_if(notes_, [&](const auto& entry) {
+           const auto& given = entry.second.given;
+           return std::any_of(given.begin(), given.end(),
+                              [&](const auto& one) { return one.first == key; });
+         }) > 0;
+}
+
 bool Ledger::avoids(const std::string& key, double now) const {
   const auto at = avoided_.find(key);
   return at != avoided_.end() && now < at->second;
@@ -205,14 +235,16 @@
     case Outcome::bad:
       return Settlement::too_large;
     case Outcome::conflict: {
-      bool only_headers = !committed.failed.empty();
+      bool others = !committed.failed.empty();
       for (const std::string& key : committed.failed) {
         if (key == kLeaderKey) return Settlement::deposed;
-        only_headers = only_headers && key.starts_with("job/");
+        const bool given = drop_given(key);
+        others = others && (given || key.starts_with("job/"));
       }
-      // A header that changed was cancelled by its user; the watch brings the new one.
+      // A header that changed was cancelled by its user; the watch brings the new one. What a note
+      // was conditional on is looked at again by whoever wrote the note.
       not_before_ = now + kAfterConflict;
-      return only_headers ? Settlement::again : Settlement::confused;
+      return others ? Settlement::again : Settlement::confused;
     }
     default:
       return Settlement::confused;
@@ -249,11 +281,11 @@
       stamps_.erase(note.key);
     }
     const auto at = notes_.find(note.key);
-    if (at != notes_.end() && at->second == note.value) notes_.erase(at);
+    if (at != notes_.end() && at->second.value == note.value) notes_.erase(at);
   }
   for (const auto& [key, stamp] : batch.leftovers) {
     stamps_[key] = stamp;
-    notes_[key] = std::nullopt;
+    write({key, std::nullopt});
   }
   for (const auto& [id, fate] : batch.ended) {
     const auto at = cluster.job_index.find(id);
--- a/src/controller/ledger.h
+++ b/src/controller/ledger.h
@@ -21,6 +21,8 @@
 struct Note {
   std::string key;
   std::optional<state::Json> value;  // none: remove
+  // Only while these keys are as they were; if one is not, the note is dropped.
+  std::vector<std::pair<std::string, std::uint64_t>> given{};
 };
 
 struct Batch {
@@ -52,7 +54,11 @@
   // What the state service held of notes and strays when the leader took over.
   void know(const std::string& key, std::uint64_t stamp) { stamps_[key] = stamp; }
   void write(Note note);
+  // What is yet to be written takes the form of the level: records that it no longer has go.
+  void step_to(std::uint32_t level);
   bool is_stored(const std::string& key) const;
+  std::optional<std::uint64_t> stamp_of(const std::string& key) const;
+  bool is_pending(const std::string& key) const { return notes_.contains(key); }
 
   // The next batch of at most `most` writes, if anything has changed. `spare` is false while writes
   // are scarce: counts for display then wait.
@@ -67,11 +73,12 @@
 
   void add_end(Cluster& cluster, Index job, Builder& builder);
   void add_chunk(Cluster& cluster, const ChunkRef& ref, double now, Builder& builder);
+  bool drop_given(const std::string& key);
   bool avoids(const std::string& key, double now) const;
   void add_headers(Cluster& cluster, double now, Builder& builder);
 
   std::map<std::string, std::uint64_t> stamps_;
-  std::map<std::string, std::optional<state::Json>> notes_;
+  std::map<std::string, Note> notes_;
   std::map<std::string, double> avoided_;  // until when
   double not_before_ = 0;
 };
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -42,17 +42,20 @@
       policy_(policy),
       state_(platform_.state, platform_.state_limits.rps * 0.6),
       cloud_(platform_.cloud),
-      campaign_(state_, platform_),
+      speech_{levels::kOldest, levels::kNewest, policy_.hold_at, REACHRAMP_VERSION},
+      book_(state_, platform_, speech_),
+      campaign_(state_, platform_, [this] { return book_.another_should_lead(); }),
       members_(state_, platform_),
       relay_(platform_),
       health_(state_, platform_),
-      door_(state_, platform_, members_, [this] { return catalog(); }),
+      door_(state_, platform_, members_, book_, [this] { return catalog(); }),
       cloud_bucket_(platform_.cloud_limits.rps * 0.8, platform_.cloud_limits.rps) {}
 
 void Node::run() {
   std::vector<std::thread> threads;
   threads.emplace_back([this] { own(); });
   threads.emplace_back([this] { members_.run(); });
+  threads.emplace_back([this] { book_.run([this](bool locked) { campaign_.bar(locked); }); });
   threads.emplace_back([this] { commit(); });
   threads.emplace_back([this] { look_up(); });
   threads.emplace_back([this] { watch_jobs(); });
@@ -81,9 +84,10 @@
   static const std::string withdraw = "/withdraw";
   if (request.path == "/ready") {
     if (!get) return no_method();
-    const bool ready = health_.ready();
+    const bool ready = !book_.locked() && health_.ready();
     return {ready ? 200 : 503, {{"ready", ready}}};
   }
+  if (book_.locked()) return {503, {{"error", "the stored state is of another version"}}, 5};
   if (request.path == kReportPath) {
     return post ? report(request.body, Origin::worker) : no_method();
   }
@@ -105,6 +109,7 @@
   if (request.path == peers::kServedPath) {
     return request.method == "GET" ? health_.served() : no_method();
   }
+  if (book_.locked()) return {503, {{"error", "the stored state is of another version"}}};
   const bool onward = request.path == peers::kOnwardPath;
   if (!onward && request.path != peers::kRelayPath) return no_path();
   if (request.method != "POST") return no_method();
@@ -211,6 +216,8 @@
     }
     void operator()(JobsRead& in) const { leader.on_job_list(in.entries, now); }
     void operator()(EndRead& in) const { leader.on_end_read(in.id, in.found, now); }
+    void operator()(ClaimsRead& in) const { leader.on_claims(in.entries); }
+    void operator()(StaleRead& in) const { leader.on_stale(in.entries, now); }
     void operator()(Settled& in) const { leader.on_settled(in.committed, now); }
     void operator()(CatalogRead& in) const { leader.on_catalog(in.catalog, now); }
     void operator()(ListRead& in) const { leader.on_list(in.machines, in.asked_at, now); }
@@ -228,7 +235,10 @@
     return;
   }
   if (outbox.commit) commits_.push({baton, outbox.commit->transaction});
-  for (std::string& job : outbox.look_up) look_ups_.push({baton, std::move(job)});
+  using What = LookUp::What;
+  for (std::string& job : outbox.look_up) look_ups_.push({What::end, baton, std::move(job)});
+  if (outbox.read_claims) look_ups_.push({What::claims, baton});
+  if (outbox.read_stale) look_ups_.push({What::stale, baton});
   for (CloudOrder& order : outbox.cloud) cloud_work_.push({baton, std::move(order)});
   for (std::string& address : outbox.greet) greetings_.push({baton, std::move(address)});
 }
@@ -257,6 +267,10 @@
   if (!pools || (found.outcome != Outcome::ok && found.outcome != Outcome::absent)) {
     return std::nullopt;
   }
+  // No level is stored without our baton from now on.
+  const state::Found level = state_.get(levels::kLevelKey);
+  if (level.outcome != Outcome::ok && level.outcome != Outcome::absent) return std::nullopt;
+  if (level.outcome == Outcome::ok) snapshot.level = level.entry;
   const state::Found timeline = state_.get(state::kTimelineKey);
   if (timeline.outcome != Outcome::ok && timeline.outcome != Outcome::absent) return std::nullopt;
   if (timeline.outcome == Outcome::ok) snapshot.told_timeline = timeline.entry;
@@ -292,8 +306,9 @@
         }
         try {
           snapshot->jobs = std::move(*jobs);
-          commands_.push({baton, TookLead{std::make_unique<Leader>(platform_, policy_, baton,
-                                                                   *snapshot, steady_now())}});
+          commands_.push(
+              {baton, TookLead{std::make_unique<Leader>(platform_, policy_, baton, *snapshot,
+                                                        steady_now(), speech_)}});
           loaded = true;
         } catch (const std::exception& error) {
           spdlog::error("records cannot be read: {}", error.what());
@@ -331,9 +346,28 @@
   for (;;) {
     for (const LookUp& work : look_ups_.take(std::chrono::hours(1))) {
       if (campaign_.standing().baton != work.baton) continue;
-      commands_.push({work.baton, EndRead{work.job, state_.get(jobs::end_key(work.job))}});
+      if (work.what == LookUp::What::end) {
+        commands_.push({work.baton, EndRead{work.job, state_.get(jobs::end_key(work.job))}});
+      } else if (work.what == LookUp::What::stale) {
+        look_for_stale(work.baton);
+      } else if (auto claims = read_all(levels::kClaims, nullptr)) {
+        commands_.push({work.baton, ClaimsRead{std::move(*claims)}});
+      }
+    }
+  }
+}
+
+// Everything that a level may find stale, page by page. The owner tells which of it is.
+void Node::look_for_stale(std::uint64_t baton) {
+  std::vector<state::Entry> found;
+  for (const char* prefix : {"task/", "pool/", state::kTimelineKey}) {
+    auto entries = read_all(prefix, nullptr);
+    if (!entries) return;
+    for (state::Entry& entry : *entries) {
+      if (levels::is_stale_at_any(entry.key, entry.value)) found.push_back(std::move(entry));
     }
   }
+  commands_.push({baton, StaleRead{std::move(found)}});
 }
 
 // ---- edges: cloud and workers
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -15,6 +15,7 @@
 #include "controller/queue.h"
 #include "jobs/door.h"
 #include "leadership/campaign.h"
+#include "levels/book.h"
 #include "peers/members.h"
 #include "peers/readiness.h"
 #include "peers/relay.h"
@@ -54,6 +55,12 @@
     std::string id;
     state::Found found;
   };
+  struct ClaimsRead {
+    std::vector<state::Entry> entries;
+  };
+  struct StaleRead {
+    std::vector<state::Entry> entries;
+  };
   struct Settled {
     state::Committed committed;
   };
@@ -73,8 +80,8 @@
   };
   struct Command {
     std::uint64_t baton = 0;
-    std::variant<TookLead, ReportIn, DirectIn, JobsChanged, JobsRead, EndRead, Settled, CatalogRead,
-                 ListRead, HireAnswered, Returned>
+    std::variant<TookLead, ReportIn, DirectIn, JobsChanged, JobsRead, EndRead, ClaimsRead,
+                 StaleRead, Settled, CatalogRead, ListRead, HireAnswered, Returned>
         what;
   };
   struct Commit {
@@ -86,8 +93,9 @@
     CloudOrder order;
   };
   struct LookUp {
+    enum class What { end, claims, stale } what = What::end;
     std::uint64_t baton = 0;
-    std::string job;
+    std::string job{};
   };
   struct Greeting {
     std::uint64_t baton = 0;
@@ -112,6 +120,7 @@
                                                     std::uint64_t* epoch);
   void commit();
   void look_up();
+  void look_for_stale(std::uint64_t baton);
   void deal_with_cloud();
   void read_machines(std::uint64_t baton);
   static CloudWork next_work(std::deque<CloudWork>& waiting);
@@ -122,6 +131,8 @@
   settings::Policy policy_;
   state::Client state_;
   cloud::Client cloud_;
+  levels::Speech speech_;
+  levels::Book book_;
   leadership::Campaign campaign_;
   peers::Members members_;
   peers::Relay relay_;
--- a/src/jobs/door.cpp
+++ b/src/jobs/door.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace reachramp::jobs {
 
 namespace {
@@ -22,8 +24,29 @@
 }  // namespace
 
 Door::Door(state::Client& state, const settings::Platform& platform, peers::Members& members,
-           CatalogSource catalog)
-    : state_(state), platform_(platform), members_(members), catalog_(std::move(catalog)) {}
+           levels::Book& book, CatalogSource catalog)
+    : state_(state),
+      platform_(platform),
+      members_(members),
+      book_(book),
+      catalog_(std::move(catalog)) {}
+
+state::Committed Door::commit(state::Transaction transaction) {
+  state::Committed refused;
+  refused.outcome = Outcome::refused;
+  auto level = book_.stamp();
+  if (!level) return refused;
+  transaction.conditions.emplace_back(levels::kLevelKey, *level);
+  state::Committed committed = state_.commit(transaction);
+  const bool stepped = committed.outcome == Outcome::conflict &&
+                       std::find(committed.failed.begin(), committed.failed.end(),
+                                 levels::kLevelKey) != committed.failed.end();
+  if (!stepped) return committed;
+  level = book_.look();
+  if (!level) return refused;
+  transaction.conditions.back().second = *level;
+  return state_.commit(transaction);
+}
 
 // A job moves once, from job/ to end/, in one transaction. Reading in that order, "absent" twice
 // means that it was not accepted when the question was asked.
@@ -122,7 +145,7 @@
   state::Transaction accept;
   accept.conditions = {{job_key(id), 0}, {end_key(id), 0}};
   accept.writes.push_back({job_key(id), encode_header(header), std::nullopt});
-  const state::Committed committed = state_.commit(accept);
+  const state::Committed committed = commit(accept);
   if (committed.outcome == Outcome::ok) {
     spdlog::info("job {} accepted: class {} team {} tasks {}", id, header.spec.job_class,
                  header.spec.team, header.spec.tasks);
@@ -153,7 +176,7 @@
       record = encode_cancelled_header(known.header);
     }
     cancel.writes.push_back({job_key(id), std::move(record), std::nullopt});
-    const state::Committed committed = state_.commit(cancel);
+    const state::Committed committed = commit(cancel);
     if (committed.outcome == Outcome::ok) {
       spdlog::info("job {} cancelled", id);
       return describe(id, known);
--- a/src/jobs/door.h
+++ b/src/jobs/door.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "jobs/spec.h"
+#include "levels/book.h"
 #include "peers/members.h"
 #include "state/client.h"
 #include "wire/http.h"
@@ -18,7 +19,7 @@
   using CatalogSource = std::function<std::shared_ptr<const cloud::Catalog>()>;
 
   Door(state::Client& state, const settings::Platform& platform, peers::Members& members,
-       CatalogSource catalog);
+       levels::Book& book, CatalogSource catalog);
 
   wire::Reply submit(const std::string& body);
   wire::Reply query(const std::string& id);
@@ -39,10 +40,14 @@
   // What the jobs that it needs say of it: whether one of them is cancelled, or a refusal.
   std::variant<bool, wire::Reply> look_at_needs(const Spec& spec);
   wire::Reply describe(const std::string& id, const Lookup& lookup) const;
+  // Commits on condition that the stored state is at the level that we take it to be at: a node
+  // that stood still across a step writes nothing of the old form.
+  state::Committed commit(state::Transaction transaction);
 
   state::Client& state_;
   const settings::Platform& platform_;
   peers::Members& members_;
+  levels::Book& book_;
   CatalogSource catalog_;
 };
 
--- a/src/leadership/campaign.cpp
+++ b/src/leadership/campaign.cpp
@@ -22,6 +22,7 @@
 constexpr double kLongestLife_s = 4;
 constexpr double kRenewalsPerLife = 4;
 constexpr double kRetry_s = 0.3;
+constexpr double kAfterYou_s = 0.3;
 
 std::chrono::milliseconds millis(double seconds) {
   return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -34,11 +35,13 @@
 
 }  // namespace
 
-Campaign::Campaign(state::Client& state, const settings::Platform& platform)
+Campaign::Campaign(state::Client& state, const settings::Platform& platform,
+                   std::function<bool()> another_should)
     : state_(state),
       platform_(platform),
       life_s_(std::clamp(platform.workers.lease_s * kLifeOfLease, 1.0, kLongestLife_s)),
-      nonce_(random_nonce()) {}
+      nonce_(random_nonce()),
+      another_should_(std::move(another_should)) {}
 
 Standing Campaign::standing() {
   std::lock_guard lock(mutex_);
@@ -74,6 +77,16 @@
   changed_.notify_all();
 }
 
+void Campaign::bar(bool barred) {
+  std::uint64_t baton = 0;
+  {
+    std::lock_guard lock(mutex_);
+    barred_ = barred;
+    baton = standing_.baton;
+  }
+  if (barred && baton != 0) resign(baton);
+}
+
 void Campaign::set(std::uint64_t baton, const std::string& leader) {
   std::lock_guard lock(mutex_);
   if (standing_.leader != leader) {
@@ -92,10 +105,11 @@
 
 void Campaign::run() {
   for (;;) {
-    bool resign = false;
+    bool resign = false, barred = false;
     {
       std::lock_guard lock(mutex_);
       resign = std::exchange(resigning_, false);
+      barred = barred_;
     }
     if (resign) {
       state_.release(permit_);
@@ -103,7 +117,7 @@
       pause(platform_.workers.lease_s * 0.1);
     } else if (standing().baton != 0) {
       keep();
-    } else if (vacant_) {
+    } else if (vacant_ && !barred) {
       stand();
     } else {
       watch();
@@ -125,6 +139,14 @@
 }
 
 void Campaign::stand() {
+  if (another_should_() && !waited_) {
+    waited_ = true;
+    vacant_ = false;
+    position_ = 0;  // look again whether it is vacant still
+    pause(kAfterYou_s);
+    return;
+  }
+  waited_ = false;
   const state::Permit permit = state_.hold(millis(life_s_));
   if (permit.outcome != Outcome::ok) {
     vacant_ = false;
@@ -159,6 +181,7 @@
       const bool ours =
           permit_ != 0 && found.entry.value.value("nonce", "") == nonce_ + std::to_string(permit_);
       position_ = found.entry.stamp;
+      waited_ = false;
       set(ours ? found.entry.stamp : 0, node);
     } else if (found.outcome == Outcome::absent) {
       vacant_ = true;
--- a/src/leadership/campaign.h
+++ b/src/leadership/campaign.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <string>
 
@@ -18,7 +19,10 @@
 
 class Campaign {
  public:
-  Campaign(state::Client& state, const settings::Platform& platform);
+  // `another_should` lead: whether a process that is through with a roll lives, which is given a
+  // moment's start where the lead is vacant, so that a roll changes leaders once or twice.
+  Campaign(state::Client& state, const settings::Platform& platform,
+           std::function<bool()> another_should);
 
   // Stands, renews, watches; for a thread of its own. Never returns.
   void run();
@@ -32,6 +36,8 @@
   void deposed(std::uint64_t baton);
   // Gives the lead up for others to take; stays out of the next elections for a while.
   void resign(std::uint64_t baton);
+  // While barred it neither stands nor leads.
+  void bar(bool barred);
 
  private:
   void stand();
@@ -47,10 +53,13 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   Standing standing_;
+  const std::function<bool()> another_should_;
   bool resigning_ = false;
+  bool barred_ = false;
   std::uint64_t permit_ = 0;
   std::uint64_t position_ = 0;
   bool vacant_ = false;
+  bool waited_ = false;  // for another to stand first
 };
 
 }  // namespace reachramp::leadership
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -276,6 +276,8 @@
   std::uint32_t next_pending(Job& job, std::uint32_t from) const;
   // Ends attempts that were never sent and need not be.
   void release_unsent(Index job, double now);
+  // Has all of the job's records that are older than the stamp written anew; true if none is.
+  bool renew_older(Index job, std::uint64_t stamp, double now);
   // Ends attempts of the chunk that no record holds yet.
   void release_unstored(Index job, std::size_t chunk, double now);
   // Works out by when the job must start; `inherited` comes from jobs that need it.
--- a/src/placement/cluster_records.cpp
+++ b/src/placement/cluster_records.cpp
@@ -202,6 +202,17 @@
   for (const std::uint32_t task : unstored) end_attempt(index, task, now);
 }
 
+bool Cluster::renew_older(Index index, std::uint64_t stamp, double now) {
+  Job& job = *jobs[index];
+  bool none = true;
+  for (const Chunk& chunk : job.chunks) {
+    if (chunk.stamp > stamp) continue;
+    none = false;
+    if (chunk.changed == chunk.stored) touch(index, chunk.first, now);
+  }
+  return none;
+}
+
 void Cluster::touch(Index index, std::uint32_t task, double now) {
   news.insert(index);
   const std::size_t number = jobs[index]->chunk_of(task);
--- a/src/settings/policy.cpp
+++ b/src/settings/policy.cpp
@@ -3,11 +3,13 @@
 #include <charconv>
 #include <cmath>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <sstream>
 
+#include "levels/table.h"
 #include "settings/settings.h"
 
 namespace reachramp::settings {
@@ -31,14 +33,47 @@
   return all;
 }
 
+using Refuse = std::function<void(const std::string& field, const std::string& why)>;
+
 struct Freed {
   void operator()(sexp_t* tree) const { destroy_sexp(tree); }
 };
 
+// The one number of (name number).
+double number_in(const sexp_t* name, const Refuse& refuse) {
+  const sexp_t* value = name->next;
+  if (value == nullptr || value->ty != SEXP_VALUE || value->next != nullptr) {
+    refuse(name->val, "expected one number");
+  }
+  const std::string digits = value->val;
+  double number = 0;
+  const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  if (error != std::errc() || stop != digits.data() + digits.size()) {
+    refuse(name->val, "not a number: " + digits);
+  }
+  return number;
+}
+
+// (levels (hold-at N))
+void read_levels(const sexp_t* section, Policy& policy, const Refuse& refuse) {
+  for (const sexp_t* entry = section->next; entry != nullptr; entry = entry->next) {
+    const sexp_t* name = entry->ty == SEXP_LIST ? entry->list : nullptr;
+    if (name == nullptr || name->ty != SEXP_VALUE) refuse("levels", "expected (name value)");
+    if (std::string(name->val) != "hold-at") continue;  // a newer version's setting
+    const double level = number_in(name, refuse);
+    if (!(level >= levels::kCompact && level <= levels::kNewest) || level != std::floor(level)) {
+      std::ostringstream why;
+      why << "must be a level from " << levels::kCompact << " to " << levels::kNewest;
+      refuse("hold-at", why.str());
+    }
+    policy.hold_at = static_cast<unsigned>(level);
+  }
+}
+
 }  // namespace
 
 Policy parse_policy(const std::string& text, const std::string& path) {
-  const auto refuse = [&](const std::string& field, const std::string& why) {
+  const Refuse refuse = [&](const std::string& field, const std::string& why) {
     throw BadSettings(path + ": " + field + ": " + why);
   };
   std::string copy = text;
@@ -52,20 +87,15 @@
   for (const sexp_t* entry = tree->list->next; entry != nullptr; entry = entry->next) {
     const sexp_t* name = entry->ty == SEXP_LIST ? entry->list : nullptr;
     if (name == nullptr || name->ty != SEXP_VALUE) refuse("policy", "expected (name value)");
+    if (std::string(name->val) == "levels") {
+      if (!given.insert("levels").second) refuse("levels", "given twice");
+      read_levels(name, policy, refuse);
+      continue;
+    }
     const auto knob = knobs().find(name->val);
     if (knob == knobs().end()) continue;  // a newer version's setting
     if (!given.insert(knob->first).second) refuse(knob->first, "given twice");
-    const sexp_t* value = name->next;
-    if (value == nullptr || value->ty != SEXP_VALUE || value->next != nullptr) {
-      refuse(knob->first, "expected one number");
-    }
-    const std::string digits = value->val;
-    double number = 0;
-    const auto [stop, error] =
-        std::from_chars(digits.data(), digits.data() + digits.size(), number);
-    if (error != std::errc() || stop != digits.data() + digits.size()) {
-      refuse(knob->first, "not a number: " + digits);
-    }
+    const double number = number_in(name, refuse);
     if (!(number >= knob->second.least && number <= knob->second.most)) {
       std::ostringstream why;
       why << "must lie between " << knob->second.least << " and " << knob->second.most;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -90,6 +90,8 @@
   double price_window_s = 600;
   double tick_s = 10;
   double horizon_s = 60;
+  // (levels (hold-at N)): the stored state stays at or below that level; 0: no wish.
+  unsigned hold_at = 0;
 };
 
 Platform load_platform(const std::string& path);
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -93,6 +93,22 @@
   EXPECT_EQ(policy.horizon_s, Policy{}.horizon_s);
 }
 
+TEST(Policy, HoldsTheFleetAtALevelThatThereIs) {
+  EXPECT_EQ(parse_policy("(policy)", "p").hold_at, 0u);
+  EXPECT_EQ(parse_policy("(policy (levels (hold-at 3) (newer 1)))", "p").hold_at, 3u);
+  for (const char* bad : {"1", "99", "2.5", "x", "3 4", "-3", "nan"}) {
+    const std::string text = std::string("(policy (levels (hold-at ") + bad + ")))";
+    try {
+      parse_policy(text, "p.sexp");
+      FAIL() << text;
+    } catch (const BadSettings& error) {
+      EXPECT_EQ(std::string(error.what()).find("p.sexp: hold-at: "), 0u) << error.what();
+    }
+  }
+  EXPECT_THROW(parse_policy("(policy (levels 3))", "p"), BadSettings);
+  EXPECT_THROW(parse_policy("(policy (levels) (levels))", "p"), BadSettings);
+}
+
 TEST(Policy, RefusesWhatItCannotUse) {
   for (const char* bad : {"", "(", "policy", "(other)", "(policy target)", "(policy (target))",
                           "(policy (target x))", "(policy (target 2))", "(policy (gamma 0))",
--- a/src/wire/budget_test.cpp
+++ b/src/wire/budget_test.cpp
@@ -142,7 +142,9 @@
       });
       EXPECT_LE(crew.threads(), 16u);
     }
-    while (done < (wave + 1) * 8) std::this_thread::yield();
+    // Until they have come back, not only done their work: on a busy machine that takes them a
+    // while.
+    while (done < (wave + 1) * 8 || crew.idle() < crew.threads()) std::this_thread::yield();
   }
   EXPECT_EQ(done, 400);
 }
--- a/src/wire/crew.cpp
+++ b/src/wire/crew.cpp
@@ -32,6 +32,11 @@
   return threads_;
 }
 
+std::size_t Crew::idle() const {
+  std::lock_guard lock(mutex_);
+  return idle_;
+}
+
 void Crew::serve() {
   std::unique_lock lock(mutex_);
   for (;;) {
--- a/src/wire/crew.h
+++ b/src/wire/crew.h
@@ -24,6 +24,8 @@
   // no thread to be had.
   void run(Work work);
   std::size_t threads() const;
+  // Of these, those that wait for work.
+  std::size_t idle() const;
 
  private:
   void serve();
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -10,6 +10,7 @@
 
 #include <fstream>
 
+#include "levels/levels.h"
 #include "loopback/fleet_server.h"
 #include "loopback/state_server.h"
 #include "state/clock.h"
@@ -178,6 +179,21 @@
         [](const lab::StateService& model) { return model.list("member/").size(); });
   }
 
+  // The level that is stored and settled; 0: none.
+  std::uint32_t settled_level() {
+    return state_->with([](const lab::StateService& model) -> std::uint32_t {
+      const auto at = model.items().find(levels::kLevelKey);
+      if (at == model.items().end()) return 0;
+      const levels::Stored stored = levels::decode_stored(at->second.value);
+      return stored.settled ? stored.level : 0;
+    });
+  }
+  void store_level(const Json& value) {
+    state_->with([&](lab::StateService& model) {
+      model.commit({{}, {{levels::kLevelKey, value, std::nullopt}}});
+    });
+  }
+
   void lower_limits() {
     state_->with([](lab::StateService& model) { model.limit({500, 100, 2, 4}); });
   }
@@ -260,13 +276,40 @@
   EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
-class Roll : public EndToEnd {
+// A later version has taken the fleet on, or the record cannot be read: whoever does not know what
+// that means serves nobody until it does.
+TEST_F(EndToEnd, WhoDoesNotSpeakTheLevelServesNobody) {
+  ASSERT_TRUE(accepts(0, job("j-1", 5)));
+  ASSERT_TRUE(within(30, [&] { return settled_level() == levels::kNewest; }));
+  for (const Json& other :
+       {Json{{"level", 9}, {"writes", 9}, {"settled", true}}, Json("nonsense")}) {
+    store_level(other);
+    for (int i = 0; i < kNodes; ++i) {
+      EXPECT_TRUE(within(10, [&] { return ask(i, "GET", "/ready").status == 503; })) << i;
+      EXPECT_EQ(ask(i, "GET", "/submissions/j-1").status, 503);
+      const Json body = job("j-2", 1);
+      EXPECT_EQ(ask(i, "POST", "/submissions", &body).status, 503);
+    }
+    store_level(levels::encode_stored({levels::kNewest, levels::kNewest, true}));
+    for (int i = 0; i < kNodes; ++i) {
+      EXPECT_TRUE(within(20, [&] { return ask(i, "GET", "/ready").status == 200; })) << i;
+    }
+  }
+  ASSERT_TRUE(accepts(1, job("j-2", 1)));
+  EXPECT_TRUE(within(60, [&] { return phase(2, "j-2") == "done"; }));
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
+// Versions that are in use, or have been: built from history, named by the environment.
+class Roll : public EndToEnd, public ::testing::WithParamInterface<const char*> {
  protected:
-  Roll() { program_ = std::getenv("REACHRAMP_PRODUCTION"); }
+  Roll() { program_ = std::getenv(GetParam()); }
 };
+INSTANTIATE_TEST_SUITE_P(From, Roll, ::testing::Values("REACHRAMP_PRODUCTION", "REACHRAMP_0_3_0"));
 
-TEST_F(Roll, NodesAreChangedOneByOneWhileTheyServe) {
-  if (program_ == nullptr) GTEST_SKIP() << "REACHRAMP_PRODUCTION names no program";
+TEST_P(Roll, NodesAreChangedOneByOneWhileTheyServe) {
+  if (program_ == nullptr) GTEST_SKIP() << GetParam() << " names no program";
+  const bool knows_needs = std::string(GetParam()) != "REACHRAMP_PRODUCTION";
   Json service = job("j-stays", 6);
   service["shape"] = "service";
   ASSERT_TRUE(accepts(0, service));
@@ -280,10 +323,14 @@
     std::this_thread::sleep_for(3s);
     EXPECT_TRUE(within(10, [&] { return phase(i, "j-stays") == "running"; }));
     if (i + 1 < kNodes) {
+      EXPECT_EQ(settled_level(), 0u) << "a node is not changed yet";
+    }
+    if (i + 1 < kNodes && !knows_needs) {
       EXPECT_EQ(ask(i, "POST", "/submissions", &early).status, 503) << "an old node could start it";
     }
   }
   EXPECT_TRUE(within(10, [&] { return members() == kNodes; }));
+  EXPECT_TRUE(within(30, [&] { return settled_level() == levels::kNewest; }));
   lower_limits();
   pipelines("a");
   for (int i = 0; i < kNodes; ++i) {
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -1,8 +1,12 @@
 // A simulated cluster round the leader's decisions: messages are lost, repeated late and reordered,
 // transactions are applied late, machines die, sessions end, leaders change, users cancel, jobs
 // wait for others. At first nodes are changed one by one from version 0.2.0, whose records the
-// leader keeps to meanwhile, and some time later the state service lowers its limits. Whatever
-// happens, the rules hold; and when the trouble ends, all work is done.
+// leader keeps to meanwhile, and some time later the state service lowers its limits. Then they are
+// changed on, over the levels of the stored state: each node's process speaks some levels and
+// claims so for as long as it lives; processes die, come back as older ones, hold the fleet back;
+// claims outlive them. Whatever happens, the rules hold, and nobody who knows of levels writes a
+// form that is older than the present one; when the trouble ends, all work is done and the last
+// step is settled.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -25,6 +29,7 @@
 settings::Platform platform() {
   settings::Platform p;
   p.node_name = "node-0";
+  p.members = {{"node-1", "a", {}}, {"node-2", "b", {}}};
   p.teams = {{"red", 4, 10, 0, 0}, {"blue", 0, 0, 0, 0}};
   p.workers = {1, 10, 15, 4, 30};
   p.state_limits = {1000, 200, 3, 8};
@@ -56,6 +61,19 @@
   double give_up_at = 0;
 };
 
+// A controller node, as far as the levels go: version 0.3.0 speaks two and claims nothing.
+struct Node {
+  std::uint32_t newest = levels::kCompact;
+  std::uint32_t hold_at = 0;
+  bool alive = true;
+  double back_at = 0;
+  double change_at = 0;  // when a later version is started here
+  std::uint64_t permit = 0;
+  // What it last claimed, and when that process was last alive.
+  std::uint32_t claimed = 0;
+  double claimed_until = 0;
+};
+
 struct Message {
   double at = 0;
   std::function<void()> deliver;
@@ -72,6 +90,7 @@
         accepted_(platform_.state_limits.write_rps, platform_.state_limits.write_rps),
         store_(platform_.state_limits, seed) {
     store_.commit({{}, {{"catalog", cloud::encode_catalog(catalog()), std::nullopt}}});
+    for (Node& node : nodes_) node.change_at = upgraded_at_ + between(5, 60);
   }
 
   // As the door does it: nobody needs others before all nodes are new, and a job that needs a
@@ -110,6 +129,22 @@
   void calm() {
     calm_ = true;
     calm_at_ = now_;
+    for (Node& node : nodes_) {
+      node.hold_at = 0;
+      node.newest = levels::kNewest;
+      node.alive = true;
+      claim(node);
+    }
+  }
+  // The last step is through and nothing older is left.
+  bool settled() const {
+    const auto at = store_.items().find(levels::kLevelKey);
+    if (at == store_.items().end()) return false;
+    const levels::Stored stored = levels::decode_stored(at->second.value);
+    return stored == levels::Stored{levels::kNewest, levels::kNewest, true} &&
+           std::none_of(store_.items().begin(), store_.items().end(), [](const auto& item) {
+             return levels::is_stale(item.first, item.second.value, levels::kNewest);
+           });
   }
   bool all_over() const {
     return std::all_of(specs_.begin(), specs_.end(), [&](const auto& spec) {
@@ -151,6 +186,7 @@
       store_.limit(platform_.state_next);
       accepted_ = state::Bucket(platform_.state_next.write_rps, platform_.state_next.write_rps);
     }
+    for (Node& node : nodes_) live(node);
     if (chance(0.004)) depose();
     if (!leader_) elect();
     std::vector<Message> due;
@@ -170,6 +206,85 @@
     if (leader_ && now_ >= list_at_) list();
   }
 
+  // ---- nodes
+
+  std::string name_of(const Node& node) const { return "node-" + std::to_string(&node - nodes_); }
+
+  void claim(Node& node) {
+    if (node.permit != 0) store_.release(node.permit);
+    node.permit = 0;
+    if (node.newest < levels::kAges) return;
+    node.permit = store_.hold(1e9, now_);
+    const levels::Claim claim{name_of(node), "0.4.0", 1, node.newest, node.hold_at, 0, 0};
+    store_.commit(
+        {{}, {{levels::claim_key(claim.node), levels::encode_claim(claim), node.permit}}});
+    node.claimed = node.newest;
+  }
+
+  void live(Node& node) {
+    if (now_ < upgraded_at_) return;
+    if (!node.alive && now_ >= node.back_at) {
+      node.alive = true;
+      claim(node);
+    }
+    if (!node.alive) return;
+    node.claimed_until = now_;
+    const bool changes = node.change_at != 0 && now_ >= node.change_at;
+    if (!changes && !chance(0.002)) return;
+    if (changes) {  // versions may be skipped
+      node.change_at = node.newest == levels::kCompact && chance(0.5) ? now_ + between(5, 60) : 0;
+      node.newest = node.change_at == 0 ? levels::kNewest : levels::kAges;
+    } else if (chance(0.2)) {
+      node.newest = levels::kCompact;  // it comes back old
+      node.change_at = now_ + between(5, 60);
+    } else if (node.newest > levels::kCompact) {
+      node.hold_at = chance(0.5) ? static_cast<std::uint32_t>(between(2, 5)) : 0;
+    }
+    node.alive = false;
+    node.back_at = now_ + between(1, chance(0.1) ? 60 : 6);
+    const std::uint64_t permit = std::exchange(node.permit, 0);
+    later(between(0, levels::kClaimLife_s), [this, permit] { store_.release(permit); });
+    if (leader_ && seat_ == &node) {
+      leader_.reset();
+      const std::uint64_t lead = std::exchange(permit_, 0);
+      later(between(0.5, 4), [this, lead] { store_.release(lead); });
+      elect_at_ = now_ + 4.2;
+    }
+  }
+
+  // Of every transaction that is applied, as it is: no step without all nodes, and nothing written
+  // by who knows of levels in a form older than the present one.
+  void check_levels(const state::Transaction& transaction) {
+    const auto at = store_.items().find(levels::kLevelKey);
+    const levels::Stored before = levels::decode_stored(
+        at == store_.items().end() ? std::nullopt : std::optional(at->second.value));
+    const bool knows =
+        std::any_of(transaction.conditions.begin(), transaction.conditions.end(),
+                    [](const auto& condition) { return condition.first == levels::kLevelKey; });
+    for (const state::Write& write : transaction.writes) {
+      if (knows && write.value && levels::is_stale(write.key, *write.value, before.writes)) {
+        break_rule("an older form: " + write.key);
+      }
+      if (write.key != levels::kLevelKey) continue;
+      const levels::Stored after = levels::decode_stored(write.value);
+      if (after.settled) {
+        for (const auto& [key, item] : store_.items()) {
+          if (levels::is_stale(key, item.value, after.writes) && !old_led_) {
+            break_rule("settled over " + key);
+          }
+        }
+      }
+      if (after.level <= before.level) continue;
+      for (const Node& node : nodes_) {
+        const bool speaks = node.alive ? node.newest >= after.level : node.claimed >= after.level;
+        const bool just_gone = now_ - node.claimed_until <= levels::kClaimLife_s;
+        if (!speaks && !(just_gone && node.claimed >= after.level)) {
+          break_rule("stepped to " + std::to_string(after.level) + " without " + name_of(node));
+        }
+      }
+    }
+  }
+
   // ---- leadership
 
   void depose() {
@@ -186,7 +301,21 @@
   }
 
   void elect() {
-    if (now_ < elect_at_) return;
+    if (now_ < elect_at_ || store_.items().contains("leader")) return;
+    std::vector<Node*> able;
+    const auto level = store_.list(levels::kLevelKey);
+    const std::uint32_t present =
+        level.empty() ? levels::kCompact : levels::decode_stored(level.front().value).level;
+    for (Node& node : nodes_) {
+      // 0.3.0 knows of no level and is not locked out; the levels so far do it no harm.
+      if (node.alive && (node.newest >= present || node.newest == levels::kCompact)) {
+        able.push_back(&node);
+      }
+    }
+    if (able.empty()) return;
+    seat_ = able[random_() % able.size()];
+    const bool old = seat_->newest == levels::kCompact;
+    old_led_ = old_led_ || (old && present > levels::kCompact);
     permit_ = store_.hold(1e9, now_);
     const auto won = store_.commit({{{"leader", 0}}, {{"leader", Json{{"node", "x"}}, permit_}}});
     ASSERT_EQ(won.outcome, state::Outcome::ok);
@@ -198,8 +327,13 @@
     snapshot.all_upgraded = upgraded();
     const auto told = store_.list(state::kTimelineKey);
     if (!told.empty()) snapshot.told_timeline = told.front();
+    if (!old && !level.empty()) snapshot.level = level.front();
+    snapshot.timeline.note(store_.epoch(), now_);
     position_ = store_.epoch();
-    leader_ = std::make_unique<Leader>(platform_, settings::Policy{}, won.epoch, snapshot, now_);
+    levels::Speech speech;
+    speech.newest = seat_->newest;
+    leader_ =
+        std::make_unique<Leader>(platform_, settings::Policy{}, won.epoch, snapshot, now_, speech);
   }
 
   void follow_jobs() {
@@ -218,12 +352,34 @@
 
   void hand_out(const Outbox& outbox) {
     const std::uint64_t baton = leader_->cluster().baton;
+    const bool old = seat_->newest == levels::kCompact;
+    if (outbox.read_claims && !old) {
+      later(delay(), [this, baton] {
+        const auto claims = store_.list(levels::kClaims);
+        later(delay(), [this, baton, claims] {
+          if (leader_ && leader_->cluster().baton == baton) leader_->on_claims(claims);
+        });
+      });
+    }
+    if (outbox.read_stale) {
+      std::vector<state::Entry> stale;
+      for (const auto& [key, item] : store_.items()) {
+        if (levels::is_stale_at_any(key, item.value))
+          stale.push_back({key, item.value, item.stamp});
+      }
+      later(delay(), [this, baton, stale] {
+        if (leader_ && leader_->cluster().baton == baton) leader_->on_stale(stale, now_);
+      });
+    }
     if (outbox.commit) {
-      const state::Transaction transaction = outbox.commit->transaction;
+      state::Transaction transaction = outbox.commit->transaction;
+      if (old) {
+        std::erase_if(transaction.conditions,
+                      [](const auto& condition) { return condition.first == levels::kLevelKey; });
+      }
       check_form(transaction);
       if (chance(0.04)) {  // no answer, but applied, perhaps late
-        later(chance(0.5) ? delay() : between(0.5, 6),
-              [this, transaction] { store_.commit(transaction); });
+        later(chance(0.5) ? delay() : between(0.5, 6), [this, transaction] { apply(transaction); });
         later(1.5, [this, baton] { settled(baton, {}); });
       } else if (chance(0.03)) {
         state::Committed refused;
@@ -254,6 +410,16 @@
     }
   }
 
+  state::Committed apply(const state::Transaction& transaction) {
+    const bool applies = std::all_of(
+        transaction.conditions.begin(), transaction.conditions.end(), [&](const auto& condition) {
+          const auto at = store_.items().find(condition.first);
+          return (at == store_.items().end() ? 0 : at->second.stamp) == condition.second;
+        });
+    if (applies) check_levels(transaction);
+    return store_.commit(transaction);
+  }
+
   state::Committed commit(const state::Transaction& transaction) {
     if (accepted_.take(static_cast<double>(transaction.writes.size()), now_) > 0) {
       state::Committed refused;
@@ -261,7 +427,7 @@
       refused.throttled = 5;
       return refused;
     }
-    state::Committed committed = store_.commit(transaction);
+    state::Committed committed = apply(transaction);
     // One that was put together before the limits fell may be sent again for a while.
     if (committed.outcome == state::Outcome::bad && now_ > lowered_at_ + 10) {
       break_rule("a transaction too large");
@@ -563,6 +729,9 @@
   lab::StateService store_;
   double now_ = 100;
   std::unique_ptr<Leader> leader_, former_;
+  Node nodes_[3];
+  Node* seat_ = nullptr;  // where the leader is
+  bool old_led_ = false;  // a process of 0.3.0 has led after the first step
   std::uint64_t permit_ = 0, position_ = 0;
   double elect_at_ = 0, list_at_ = 0, calm_at_ = 0;
   std::map<std::string, Machine> machines_;
@@ -612,6 +781,7 @@
   RC_ASSERT(simulation.broken.empty());
   RC_LOG() << simulation.unfinished();
   RC_ASSERT(simulation.all_over());
+  RC_ASSERT(simulation.settled());
 }
 
 }  // namespace
