--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -37,6 +37,10 @@
 // What a leader that has seen nothing yet will not know of: at most this much of every job's age,
 // and the time in which nobody led.
 constexpr double kTellTimeline_s = 5;
+constexpr double kTellShares_s = 60;
+constexpr double kFirstShares_s = 5;  // after taking over, when most machines have been heard
+constexpr double kStoreShares_s = 30;
+constexpr double kPassShares_s = 1;
 
 }  // namespace
 
@@ -50,6 +54,8 @@
       buyer_(policy),
       writes_(platform.state_limits.write_rps * kWritesKept, platform.state_limits.write_rps),
       speech_(speech),
+      told_shares_at_(now - kTellShares_s + kFirstShares_s),
+      stored_shares_at_(now),
       timeline_(snapshot.timeline),
       told_timeline_at_(now),
       most_ops_(platform.lasting().txn_ops),
@@ -62,6 +68,15 @@
   }
   all_upgraded_ = snapshot.all_upgraded || level_.level >= levels::kAges;
   if (snapshot.level) ledger_.know(levels::kLevelKey, snapshot.level->stamp);
+  if (snapshot.shares) {
+    ledger_.know(shares::kSharesKey, snapshot.shares->stamp);
+    try {
+      accounts_.inherit(snapshot.shares->value);
+      accounted_to_ = snapshot.shares->stamp;
+    } catch (const std::exception& error) {
+      spdlog::error("record {}: {}", shares::kSharesKey, error.what());
+    }
+  }
   if (snapshot.told_timeline) {
     ledger_.know(state::kTimelineKey, snapshot.told_timeline->stamp);
     try {
@@ -193,7 +208,9 @@
     if (job == nullptr) {
       const std::uint64_t born = header.born != 0 ? header.born : stamp;
       const double seen_at = timeline_.time_of(born, now);
-      pipelines::enter(cluster_, cluster_.add_job(header, stamp, seen_at), now);
+      const Index index = cluster_.add_job(header, stamp, seen_at);
+      if (born > accounted_to_) accounts_.came(*cluster_.jobs[index]);
+      pipelines::enter(cluster_, index, now);
       spdlog::info("job {} taken up: {} tasks", id, header.spec.tasks);
     } else if (stamp > job->stamp) {
       job->stamp = stamp;
@@ -270,6 +287,12 @@
     retry_commit_at_ = now + 0.3 * std::min(++commit_failures_, 5);
     return;
   }
+  if (committed.outcome == Outcome::ok) {
+    for (const auto& [id, fate] : in_flight_->ended) {
+      const Job* job = cluster_.job(id);
+      if (fate == Fate::cancelled && job != nullptr) accounts_.cancelled(*job);
+    }
+  }
   const Settlement settlement = unsettled_ && committed.outcome != Outcome::ok
                                     ? Settlement::confused
                                     : ledger_.settle(cluster_, *in_flight_, committed, now);
@@ -338,6 +361,21 @@
   }
 }
 
+void Leader::tell_shares(double now) {
+  accounts_.pass(cluster_, now);
+  if (now - told_shares_at_ >= kTellShares_s) {
+    told_shares_at_ = now;
+    spdlog::info("served: {}", shares::describe(accounts_.report(cluster_, now)));
+  }
+  if (!levels::has(level_, levels::kShares) || now - stored_shares_at_ < kStoreShares_s ||
+      cluster_.job_index.empty()) {
+    return;
+  }
+  stored_shares_at_ = now;
+  const state::Json value = accounts_.encode();
+  if (state::fits(value, platform_.lasting().value_kb)) ledger_.write({shares::kSharesKey, value});
+}
+
 // Worth a transaction: room for half a full one. Before a record is put together, not after: at a
 // grown site batches were built ten times a second and thrown away for want of writes.
 void Leader::commit(double now) {
@@ -349,6 +387,10 @@
   }
   if (all_upgraded_) cluster_.use_compact(now);
   tell_timeline(now);
+  if (now - shares_passed_at_ >= kPassShares_s) {
+    shares_passed_at_ = now;
+    tell_shares(now);
+  }
   const int affordable = std::min(most_ops_, static_cast<int>(writes_.available(now)));
   if (now < retry_commit_at_ || affordable < std::max(1, most_ops_ / 2)) return;
   auto batch = ledger_.next(cluster_, affordable, writes_.level(now) > 0.6, now);
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -15,6 +15,7 @@
 #include "levels/levels.h"
 #include "placement/cluster.h"
 #include "settings/settings.h"
+#include "shares/accounts.h"
 #include "workers/report.h"
 
 namespace reachramp::controller {
@@ -42,6 +43,7 @@
   std::vector<state::Entry> pools;
   std::optional<state::Entry> catalog;
   std::optional<state::Entry> level;
+  std::optional<state::Entry> shares;
   bool all_upgraded = false;  // no node runs a version that knows whole records only
   state::Timeline timeline;   // what this node knows of when stamps were given
   std::optional<state::Entry> told_timeline;  // what earlier leaders wrote of it
@@ -98,6 +100,7 @@
   void note_throttled(int times, double now);
   void commit(double now);
   void tell_timeline(double now);
+  void tell_shares(double now);
   void watch_levels(double now);
   void write_level(const levels::Stored& to,
                    std::vector<std::pair<std::string, std::uint64_t>> given);
@@ -119,6 +122,11 @@
   std::set<std::string> renewed_;  // records of tasks that the step has removed
   double claims_asked_at_ = -1e9;
   double stale_asked_at_ = -1e9;
+  shares::Accounts accounts_;
+  std::uint64_t accounted_to_ = 0;  // jobs born up to here are in the accounts that were read
+  double shares_passed_at_ = -1e9;
+  double told_shares_at_;
+  double stored_shares_at_;
   state::Timeline timeline_;
   double told_timeline_at_;
   Outbox out_;
--- a/src/controller/ledger.cpp
+++ b/src/controller/ledger.cpp
@@ -84,7 +84,8 @@
   notes_[key] = std::move(note);
 }
 
-// The simulated cluster wrote a closed pool as before, one transaction after the step to having none.
+// The simulated cluster wrote a closed pool as before, one transaction after the step to having
+// none.
 void Ledger::step_to(std::uint32_t level) {
   for (auto& [key, note] : notes_) {
     if (note.value && levels::is_stale(key, *note.value, level)) note.value.reset();
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -271,6 +271,9 @@
   const state::Found level = state_.get(levels::kLevelKey);
   if (level.outcome != Outcome::ok && level.outcome != Outcome::absent) return std::nullopt;
   if (level.outcome == Outcome::ok) snapshot.level = level.entry;
+  const state::Found shares = state_.get(shares::kSharesKey);
+  if (shares.outcome != Outcome::ok && shares.outcome != Outcome::absent) return std::nullopt;
+  if (shares.outcome == Outcome::ok) snapshot.shares = shares.entry;
   const state::Found timeline = state_.get(state::kTimelineKey);
   if (timeline.outcome != Outcome::ok && timeline.outcome != Outcome::absent) return std::nullopt;
   if (timeline.outcome == Outcome::ok) snapshot.told_timeline = timeline.entry;
@@ -360,7 +363,7 @@
 // Everything that a level may find stale, page by page. The owner tells which of it is.
 void Node::look_for_stale(std::uint64_t baton) {
   std::vector<state::Entry> found;
-  for (const char* prefix : {"task/", "pool/", state::kTimelineKey}) {
+  for (const char* prefix : {"task/", "pool/", state::kTimelineKey, shares::kSharesKey}) {
     auto entries = read_all(prefix, nullptr);
     if (!entries) return;
     for (state::Entry& entry : *entries) {
--- a/src/levels/levels.cpp
+++ b/src/levels/levels.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "jobs/spec.h"
+#include "shares/accounts.h"
 #include "state/timeline.h"
 
 namespace reachramp::levels {
@@ -36,6 +37,7 @@
 
 bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level) {
   if (key == state::kTimelineKey) return level < kAges;
+  if (key == shares::kSharesKey) return level < kShares;
   if (key.starts_with("pool/")) {
     return level >= kClosedPools && !(value.is_object() && value.value("open", false));
   }
--- a/src/levels/levels_test.cpp
+++ b/src/levels/levels_test.cpp
@@ -62,7 +62,7 @@
             std::string::npos);
   speech.oldest = 3;
   EXPECT_NE(locked_out({}, speech).find("start a former"), std::string::npos);
-  EXPECT_NE(locked_out({5, 4, false}, Speech{}), "") << "a step back that is not through";
+  EXPECT_NE(locked_out({kNewest + 1, kNewest, false}, Speech{}), "") << "a step back that is not through";
 }
 
 TEST(Levels, WhatCannotBeReadIsNoGround) {
--- /dev/null
+++ b/src/shares/accounts.h
@@ -0,0 +1,65 @@
+// What each team and each class of jobs was served: what came, what was done, what is late and by
+// how much, and what was used of late. For operators' logs, and for whoever decides by it. Kept
+// across a change of leaders by one record at level 5, written twice a minute. Forgotten between
+// two writes: jobs that came and ended there, in both counts, and half a minute of use.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "placement/cluster.h"
+
+namespace reachramp::shares {
+
+inline constexpr const char* kSharesKey = "shares";
+
+struct Account {
+  std::uint64_t came = 0;
+  std::uint64_t cancelled = 0;
+  double core_s = 0;  // with a half-life
+  double gpu_s = 0;
+  bool operator==(const Account&) const = default;
+};
+
+// How one team or class stands.
+struct Standing {
+  std::string name;
+  std::uint64_t came = 0;
+  std::uint64_t done = 0;
+  std::uint64_t waiting = 0;  // not begun, although nothing that they need holds them back
+  std::uint64_t late = 0;     // alive, and nothing that is expected of them can be met any more
+  double longest_wait_s = 0;
+  double cores = 0;  // in use now
+  // Of those that are done or late, the part that is done; 1 where there are none.
+  double share() const;
+};
+
+struct Report {
+  std::vector<Standing> teams;
+  std::vector<Standing> classes;
+};
+
+class Accounts {
+ public:
+  void came(const placement::Job& job);
+  void cancelled(const placement::Job& job);
+  // Lets time pass; use is that of the moment.
+  void pass(const placement::Cluster& cluster, double now);
+
+  Report report(const placement::Cluster& cluster, double now) const;
+
+  wire::Json encode() const;
+  // Takes over what an earlier leader wrote. Throws wire::BadMessage and is as it was.
+  void inherit(const wire::Json& record);
+  double core_s(const std::string& team) const;
+
+ private:
+  std::map<std::string, Account> teams_, classes_;
+  double passed_at_ = -1;
+};
+
+// One line: each team and class, the worst of all last.
+std::string describe(const Report& report);
+
+}  // namespace reachramp::shares
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -238,7 +238,7 @@
       node.newest = levels::kCompact;  // it comes back old
       node.change_at = now_ + between(5, 60);
     } else if (node.newest > levels::kCompact) {
-      node.hold_at = chance(0.5) ? static_cast<std::uint32_t>(between(2, 5)) : 0;
+      node.hold_at = chance(0.5) ? static_cast<std::uint32_t>(between(2, 6)) : 0;
     }
     node.alive = false;
     node.back_at = now_ + between(1, chance(0.1) ? 60 : 6);
@@ -327,6 +327,8 @@
     snapshot.all_upgraded = upgraded();
     const auto told = store_.list(state::kTimelineKey);
     if (!told.empty()) snapshot.told_timeline = told.front();
+    const auto shares = store_.list(shares::kSharesKey);
+    if (!shares.empty()) snapshot.shares = shares.front();
     if (!old && !level.empty()) snapshot.level = level.front();
     snapshot.timeline.note(store_.epoch(), now_);
     position_ = store_.epoch();
