A gang that has waited behind its team's limit is given way by the team's other work

After 30 s the team's gang that has waited longest has its need kept free under the limit, unless gangs of its own team are in the way or no machines that are up could hold it; guaranteed work is not held back.

--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -306,10 +306,10 @@
   }
 }
 
-bool Cluster::within_limit(const Job& job, double tasks) const {
+bool Cluster::within_limit(const Job& job, double tasks, const Usage& kept) const {
   if (job.team == kNone) return false;
   const settings::Team& team = platform.teams[job.team];
-  const Usage& use = used[job.team];
+  const Usage use{used[job.team].cpus + kept.cpus, used[job.team].gpus + kept.gpus};
   return (team.cpus_max <= 0 || use.cpus + job.need.cpus * tasks <= team.cpus_max + kSlack) &&
          (team.gpus_max <= 0 || use.gpus + job.need.gpus * tasks <= team.gpus_max + kSlack);
 }
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -272,7 +272,8 @@
   void touch(Index job, std::uint32_t task, double now);
   bool chunk_is_stored(const Job& job, std::uint32_t task) const;
   jobs::ChunkRecord chunk_record(const Job& job, std::size_t chunk) const;
-  bool within_limit(const Job& job, double tasks) const;
+  // Whether the team may use as much more, with `kept` of its limit left to others.
+  bool within_limit(const Job& job, double tasks, const Usage& kept = {}) const;
   std::uint32_t next_pending(Job& job, std::uint32_t from) const;
   // Ends attempts that were never sent and need not be.
   void release_unsent(Index job, double now);
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr double kLeastNotice = 1.5;
+// A gang waits so long behind its own team's limit before the team's arrays give way.
+constexpr double kGiveWayAfter_s = 30;
+constexpr Usage kNothing{};
 
 // Tasks of the job by zone, ended attempts excepted. Nothing if one of them is in a zone that is
 // not known.
@@ -76,7 +79,53 @@
   open.keep(growing);
 }
 
-int place_array(Cluster& cluster, Index index, Openings& open, double now) {
+// Of a team's limit, what all but one gang leave to it.
+struct Kept {
+  Usage usage;
+  Index gang = kNone;
+};
+
+// By team: the gang that has waited longest, for a while at least. It asks for all its tasks at
+// once, while arrays took each core as it came free, and smaller gangs what was left: one waited
+// 705 s of 730. Not while machines that are up could not hold it, and not against a guarantee.
+std::vector<Kept> kept_for_gangs(const Cluster& cluster, const Service& service,
+                                 const Openings& open, double now) {
+  std::vector<Kept> kept(cluster.used.size());
+  for (const Index index : service.order) {
+    const Job& job = *cluster.jobs[index];
+    if (job.spec.shape != jobs::Shape::gang || !job.attempts.empty() || now < job.not_before ||
+        now - job.freed_at < kGiveWayAfter_s) {
+      continue;
+    }
+    Index& oldest = kept[job.team].gang;
+    if (oldest != kNone && cluster.jobs[oldest]->freed_at <= job.freed_at) continue;
+    if (open.could_hold(job, job.zone, job.spec.tasks)) oldest = index;
+  }
+  std::vector<Usage> beside(cluster.used.size());  // what others than arrays use
+  for (const auto& job : cluster.jobs) {
+    if (!job || job->team == kNone || job->spec.shape == jobs::Shape::array) continue;
+    beside[job->team].cpus += job->need.cpus * static_cast<double>(job->attempts.size());
+    beside[job->team].gpus += job->need.gpus * static_cast<double>(job->attempts.size());
+  }
+  const auto fits = [](double limit, double used, double more) {
+    return limit <= 0 || used + more <= limit + 1e-6;
+  };
+  for (Index team = 0; team < kept.size(); ++team) {
+    if (kept[team].gang == kNone) continue;
+    const settings::Team& limits = cluster.platform.teams[team];
+    const Job& gang = *cluster.jobs[kept[team].gang];
+    const double tasks = gang.spec.tasks;
+    const Usage need{gang.need.cpus * tasks, gang.need.gpus * tasks};
+    // While gangs of its own team are in the way, giving way would help nobody.
+    if (fits(limits.cpus_max, beside[team].cpus, need.cpus) &&
+        fits(limits.gpus_max, beside[team].gpus, need.gpus)) {
+      kept[team].usage = need;
+    }
+  }
+  return kept;
+}
+
+int place_array(Cluster& cluster, Index index, Openings& open, const Usage& kept, double now) {
   Job& job = *cluster.jobs[index];
   std::uint32_t task = cluster.next_pending(job, 0);
   if (task == job.spec.tasks) return 0;
@@ -93,7 +142,7 @@
   const std::uint64_t attempt = job.last_attempt + 1;
   for (const Index host : hosts) {
     while (task < job.spec.tasks && cluster.hosts[host]->free.holds(job.need) &&
-           rules.allow(cluster.hosts[host]->zone) && cluster.within_limit(job, 1) &&
+           rules.allow(cluster.hosts[host]->zone) && cluster.within_limit(job, 1, kept) &&
            cluster.has_room(index, task, attempt, host)) {
       rules.take(cluster.hosts[host]->zone);
       cluster.place(index, task, attempt, host, now);
@@ -107,7 +156,7 @@
 // All tasks of a gang or none; while it still gathers, replacements join the same attempt. A gang
 // that lacks machines keeps those of its zone from all that come after it: smaller gangs took them
 // one by one, and one of three machines waited 80 s although it was the first in line.
-int place_gang(Cluster& cluster, Index index, Openings& open, double now) {
+int place_gang(Cluster& cluster, Index index, Openings& open, const Usage& kept, double now) {
   Job& job = *cluster.jobs[index];
   const bool gathering = !job.attempts.empty();
   const auto wanted = job.spec.tasks - static_cast<std::uint32_t>(job.attempts.size());
@@ -129,7 +178,7 @@
                          [&](const Exited& e) { return e.job == job.spec.id; });
     });
   }
-  if (!cluster.within_limit(job, wanted)) return 0;
+  if (!cluster.within_limit(job, wanted, gathering ? kNothing : kept)) return 0;
   if (job.spec.one_zone && in_use->empty()) {
     const Index zone = best_zone(cluster, job, hosts);
     std::erase_if(hosts, [&](Index i) { return cluster.hosts[i]->zone != zone; });
@@ -236,13 +285,16 @@
   Openings open(cluster, now);
   int placed = 0;
   const Service service = service_order(cluster, now);
+  const std::vector<Kept> kept = kept_for_gangs(cluster, service, open, now);
   for (const Index index : service.order) {
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
     if (gang && stop_broken_gang(cluster, index)) open.grown();
     if (now < job.not_before) continue;
-    const int more =
-        gang ? place_gang(cluster, index, open, now) : place_array(cluster, index, open, now);
+    const bool owner = service.guaranteed[index] || kept[job.team].gang == index;
+    const Usage& left = owner ? kNothing : kept[job.team].usage;
+    const int more = gang ? place_gang(cluster, index, open, left, now)
+                          : place_array(cluster, index, open, left, now);
     placed += more;
     if (!gang && cluster.next_pending(job, 0) < job.spec.tasks) {
       keep_growing_room(cluster, job, open);
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -268,6 +268,39 @@
   EXPECT_EQ(cluster_.jobs[cluster_.job_index["j-9"]]->attempts.size(), 1u);
 }
 
+// hunt-7b89-5: a gang of a team asked for all its cores at once, while arrays of the team took each
+// as it came free under the limit; half of the class was served.
+TEST_F(Plan, ArraysGiveWayToAGangBehindTheirTeamsLimit) {
+  for (int i = 0; i < 4; ++i) machine("small", "a");
+  const Index crowd = cluster_.add_job(header(40, 1), 1, 0);
+  EXPECT_EQ(plan(cluster_, 1), 6) << "the limit";
+  jobs::Header four = header(1, 4);
+  four.spec.shape = jobs::Shape::gang;
+  const Index gang = cluster_.add_job(four, 2, 1);
+  jobs::Header other = header(1, 3);
+  other.spec.shape = jobs::Shape::gang;
+  const Index second = cluster_.add_job(other, 3, 2);
+  const auto end_one = [&](double now) {
+    const std::uint32_t task = cluster_.jobs[crowd]->attempts.begin()->first;
+    cluster_.end_attempt(crowd, task, now);
+    cluster_.mark_done(crowd, task, now);
+  };
+  for (const auto& host : cluster_.hosts) host->heard_at = 40;
+  end_one(20);
+  EXPECT_EQ(plan(cluster_, 20), 1) << "it has not waited for long";
+  for (int i = 0; i < 3; ++i) {
+    end_one(40 + i);
+    EXPECT_EQ(plan(cluster_, 40 + i), 0) << i;
+  }
+  end_one(44);
+  EXPECT_EQ(plan(cluster_, 44), 1);
+  EXPECT_EQ(cluster_.jobs[gang]->attempts.size(), 1u);
+  // The other gang could not be let in by arrays while the first holds the limit: they go on.
+  end_one(45);
+  EXPECT_EQ(plan(cluster_, 45), 1);
+  EXPECT_TRUE(cluster_.jobs[second]->attempts.empty());
+}
+
 // hunt-7b89-5: against all machines there was time for all jobs of a team, behind its limit for
 // none.
 TEST_F(Plan, WhatATeamsLimitCannotBringInTimeWaits) {
