--- a/lab/model/state_service.cpp
+++ b/lab/model/state_service.cpp
@@ -108,6 +108,7 @@
 
 std::variant<Reply, StateService::Watching> StateService::ask(const std::string& from,
                                                               const Request& request, double now) {
+  ++asked_;
   const auto refused = refused_.find(from);
   if (stopped_at_ || (refused != refused_.end() && refused->second)) {
     return Reply{503, {{"error", "trouble"}}};
--- a/lab/model/state_service.h
+++ b/lab/model/state_service.h
@@ -65,6 +65,7 @@
   void release(std::uint64_t permit);
   const std::map<std::string, Item>& items() const { return items_; }
   std::uint64_t epoch() const { return epoch_; }
+  std::uint64_t asked() const { return asked_; }  // requests so far
 
  private:
   struct Permit {
@@ -94,6 +95,7 @@
   std::map<std::string, Item> items_;
   std::deque<state::Change> log_;
   std::uint64_t epoch_ = 0;
+  std::uint64_t asked_ = 0;
   std::uint64_t forgotten_ = 0;  // changes up to here are no longer in the log
   std::map<std::uint64_t, Permit> permits_;
   std::map<std::uint64_t, Watch> watches_;
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "controller/stale.h"
 #include "pipelines/needs.h"
 #include "placement/plan.h"
 
@@ -74,7 +75,8 @@
       accounts_.inherit(snapshot.shares->value);
       accounted_to_ = snapshot.shares->stamp;
     } catch (const std::exception& error) {
-      spdlog::error("record {}: {}", shares::kSharesKey, error.what());
+      spdlog::error("record {}: {}: left alone", shares::kSharesKey, error.what());
+      shares_unreadable_ = true;
     }
   }
   if (snapshot.told_timeline) {
@@ -123,7 +125,7 @@
     out_.cloud.push_back({CloudOrder::Kind::hire, hire, {}});
   }
   const auto stale = [&](const state::Entry& entry) {
-    return levels::is_stale(entry.key, entry.value, level_.writes);
+    return is_stale(entry.key, entry.value, level_.writes);
   };
   // A version that knows of no levels cannot be locked out, only be seen and mended after.
   if (level_.settled && (std::any_of(snapshot.tasks.begin(), snapshot.tasks.end(), stale) ||
@@ -367,8 +369,8 @@
     told_shares_at_ = now;
     spdlog::info("served: {}", shares::describe(accounts_.report(cluster_, now)));
   }
-  if (!levels::has(level_, levels::kShares) || now - stored_shares_at_ < kStoreShares_s ||
-      cluster_.job_index.empty()) {
+  if (!levels::has(level_, levels::kShares) || shares_unreadable_ ||
+      now - stored_shares_at_ < kStoreShares_s || cluster_.job_index.empty()) {
     return;
   }
   stored_shares_at_ = now;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -124,6 +124,7 @@
   double stale_asked_at_ = -1e9;
   shares::Accounts accounts_;
   std::uint64_t accounted_to_ = 0;  // jobs born up to here are in the accounts that were read
+  bool shares_unreadable_ = false;
   double shares_passed_at_ = -1e9;
   double told_shares_at_;
   double stored_shares_at_;
--- a/src/controller/leader_levels.cpp
+++ b/src/controller/leader_levels.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "controller/leader.h"
+#include "controller/stale.h"
 
 namespace reachramp::controller {
 
@@ -56,7 +57,7 @@
 void Leader::on_stale(const std::vector<state::Entry>& entries, double now) {
   if (level_.settled || ledger_.is_pending(levels::kLevelKey)) return;
   const auto stale = std::count_if(entries.begin(), entries.end(), [&](const auto& entry) {
-    return levels::is_stale(entry.key, entry.value, level_.writes);
+    return is_stale(entry.key, entry.value, level_.writes);
   });
   if (stale == 0) {
     write_level(levels::settle(level_), {});
@@ -64,7 +65,7 @@
   }
   spdlog::info("level {}: {} records are of another form", level_.level, stale);
   for (const state::Entry& entry : entries) {
-    if (!levels::is_stale(entry.key, entry.value, level_.writes)) continue;
+    if (!is_stale(entry.key, entry.value, level_.writes)) continue;
     renew_record(entry.key, entry.stamp, now);
   }
 }
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -107,6 +107,30 @@
   EXPECT_EQ(starts(31.4), 1u);
 }
 
+TEST_F(LeaderTest, AccountsThatCannotBeReadAreLeftAlone) {
+  const auto written = [&](const state::Json& stored) {
+    Snapshot taken = snapshot({job_entry("j-1", 1)});
+    const levels::Stored newest{levels::kNewest, levels::kNewest, true};
+    taken.level = state::Entry{levels::kLevelKey, levels::encode_stored(newest), 4};
+    taken.shares = state::Entry{shares::kSharesKey, stored, 5};
+    Leader leader = lead(taken);
+    bool wrote = false;
+    for (double now = 1; now < 80; now += 0.5) {
+      hear(leader, 1, now);
+      leader.on_jobs_current(now);
+      const Outbox out = leader.advance(now);
+      if (!out.commit) continue;
+      for (const state::Write& write : out.commit->transaction.writes) {
+        wrote = wrote || write.key == shares::kSharesKey;
+      }
+      leader.on_settled(outcome(state::Outcome::ok, 50 + static_cast<std::uint64_t>(now)), now);
+    }
+    return wrote;
+  };
+  EXPECT_TRUE(written(shares::Accounts().encode()));
+  EXPECT_FALSE(written("nonsense"));
+}
+
 // inc-f4fd: a cut between two zones silenced half the fleet, which was sent back in one go.
 TEST_F(LeaderTest, ManySilentMachinesAreGivenTime) {
   Leader leader = lead(snapshot({job_entry("j-1", 40)}));
--- a/src/controller/ledger.cpp
+++ b/src/controller/ledger.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "controller/stale.h"
 #include "levels/levels.h"
 #include "pipelines/needs.h"
 
@@ -88,7 +89,7 @@
 // none.
 void Ledger::step_to(std::uint32_t level) {
   for (auto& [key, note] : notes_) {
-    if (note.value && levels::is_stale(key, *note.value, level)) note.value.reset();
+    if (note.value && is_stale(key, *note.value, level)) note.value.reset();
   }
 }
 
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <deque>
 
+#include "controller/stale.h"
 #include "state/clock.h"
 
 namespace reachramp::controller {
@@ -22,6 +23,7 @@
 constexpr double kOwnerTick_s = 0.1;
 constexpr auto kFollowFor = 1000ms;
 constexpr double kCatalogEvery_s = 10;
+constexpr double kCatalogLookAgain_s = 0.5;
 constexpr double kListEvery_s = 2;
 constexpr auto kGreetingLimit = 1000ms;
 constexpr int kGreeters = 3;
@@ -51,7 +53,17 @@
       door_(state_, platform_, members_, book_, [this] { return catalog(); }),
       cloud_bucket_(platform_.cloud_limits.rps * 0.8, platform_.cloud_limits.rps) {}
 
+// The doors first: whoever has not got them is a second process of this name, or there are too few
+// ports, and must not have said a word to the state service in its node's name.
 void Node::run() {
+  wire::Budget budget(
+      wire::connections_for({platform_.fd_limit, platform_.ram_mb, platform_.thread_limit}));
+  wire::Server peers(
+      platform_.cluster_listen, budget, wire::Party::peer,
+      [](const wire::Request&) { return wire::Party::peer; },
+      [this](const wire::Request& request) { return serve_peer(request); });
+  wire::Server server(platform_.serve_on, budget, wire::Party::fresh, sender,
+                      [this](const wire::Request& request) { return serve(request); });
   std::vector<std::thread> threads;
   threads.emplace_back([this] { own(); });
   threads.emplace_back([this] { members_.run(); });
@@ -61,14 +73,6 @@
   threads.emplace_back([this] { watch_jobs(); });
   threads.emplace_back([this] { deal_with_cloud(); });
   for (int i = 0; i < kGreeters; ++i) threads.emplace_back([this] { greet(); });
-  wire::Budget budget(
-      wire::connections_for({platform_.fd_limit, platform_.ram_mb, platform_.thread_limit}));
-  wire::Server peers(
-      platform_.cluster_listen, budget, wire::Party::peer,
-      [](const wire::Request&) { return wire::Party::peer; },
-      [this](const wire::Request& request) { return serve_peer(request); });
-  wire::Server server(platform_.serve_on, budget, wire::Party::fresh, sender,
-                      [this](const wire::Request& request) { return serve(request); });
   spdlog::info("{} serves on {}:{}", platform_.node_name, platform_.serve_on.host,
                platform_.serve_on.port);
   campaign_.run();
@@ -147,7 +151,21 @@
   return {503, {{"error", "busy"}}};
 }
 
+// A process that has just started is asked for it before it has had time to fetch it: half a second
+// of 503 each time, when all nodes were back at once.
 std::shared_ptr<const cloud::Catalog> Node::catalog() {
+  {
+    std::lock_guard lock(catalog_mutex_);
+    const double now = steady_now();
+    if (catalog_ || now - catalog_looked_at_ < kCatalogLookAgain_s) return catalog_;
+    catalog_looked_at_ = now;
+  }
+  const state::Found found = state_.get(kCatalogKey);
+  try {
+    if (found.outcome == Outcome::ok) learn_catalog(cloud::decode_catalog(found.entry.value));
+  } catch (const std::exception& error) {
+    spdlog::error("stored catalog: {}", error.what());
+  }
   std::lock_guard lock(catalog_mutex_);
   return catalog_;
 }
@@ -367,7 +385,7 @@
     auto entries = read_all(prefix, nullptr);
     if (!entries) return;
     for (state::Entry& entry : *entries) {
-      if (levels::is_stale_at_any(entry.key, entry.value)) found.push_back(std::move(entry));
+      if (is_stale_at_any(entry.key, entry.value)) found.push_back(std::move(entry));
     }
   }
   commands_.push({baton, StaleRead{std::move(found)}});
@@ -421,7 +439,6 @@
 void Node::deal_with_cloud() {
   double catalog_at = -1e9;
   double list_at = -1e9;
-  double stored_at = -1e9;
   std::deque<CloudWork> waiting;
   for (;;) {
     for (CloudWork& work :
@@ -434,15 +451,6 @@
     double now = steady_now();
     // Nodes that do not lead need the machine types too, to tell what can never run; they take
     // them from the state service, and from the cloud only while nobody has stored them.
-    if (!catalog() && now - stored_at > 1) {
-      stored_at = now;
-      const state::Found found = state_.get(kCatalogKey);
-      try {
-        if (found.outcome == Outcome::ok) learn_catalog(cloud::decode_catalog(found.entry.value));
-      } catch (const std::exception& error) {
-        spdlog::error("stored catalog: {}", error.what());
-      }
-    }
     if (baton == 0) {
       list_at = catalog_at = -1e9;
       if (!catalog()) {
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -140,6 +140,7 @@
   jobs::Door door_;
   std::mutex catalog_mutex_;
   std::shared_ptr<const cloud::Catalog> catalog_;
+  double catalog_looked_at_ = -1e9;  // in the state service, while it is not known
 
   std::unique_ptr<Leader> leader_;  // the owner's
   Queue<Command> commands_;
--- /dev/null
+++ b/src/controller/stale.h
@@ -0,0 +1,16 @@
+// Which stored records are not of the form that is written at a level, all slices asked.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "wire/message.h"
+
+namespace reachramp::controller {
+
+// A step to the level is not over while such a record stands.
+bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
+// At any level that this version knows.
+bool is_stale_at_any(const std::string& key, const wire::Json& value);
+
+}  // namespace reachramp::controller
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "levels/table.h"
+
 namespace reachramp::jobs {
 
 namespace {
@@ -371,4 +373,9 @@
   return found;
 }
 
+bool is_stale(const std::string& key, const wire::Json&, std::uint32_t level) {
+  const auto chunk = level >= levels::kAges ? parse_chunk_key(key) : std::nullopt;
+  return chunk && chunk->format == Format::whole;
+}
+
 }  // namespace reachramp::jobs
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -118,5 +118,7 @@
 std::string chunk_key(const std::string& id, std::size_t chunk);
 std::string compact_key(const std::string& id, std::uint32_t first, std::uint32_t end);
 std::optional<ChunkKey> parse_chunk_key(const std::string& key);
+// Whether it is a record of this slice that the level does not have, or has in another form.
+bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
 
 }  // namespace reachramp::jobs
--- a/src/leadership/campaign.cpp
+++ b/src/leadership/campaign.cpp
@@ -40,7 +40,9 @@
     : state_(state),
       platform_(platform),
       life_s_(std::clamp(platform.workers.lease_s * kLifeOfLease, 1.0, kLongestLife_s)),
-      nonce_(random_nonce()),
+      self_{platform.node_name,
+            platform.cluster_listen.host + ":" + std::to_string(platform.cluster_listen.port),
+            random_nonce()},
       another_should_(std::move(another_should)) {}
 
 Standing Campaign::standing() {
@@ -139,7 +141,7 @@
 }
 
 void Campaign::stand() {
-  if (another_should_() && !waited_) {
+  if ((another_should_() || std::exchange(after_you_, false)) && !waited_) {
     waited_ = true;
     vacant_ = false;
     position_ = 0;  // look again whether it is vacant still
@@ -156,10 +158,7 @@
   permit_ = permit.id;
   state::Transaction claim;
   claim.conditions = {{kKey, 0}};
-  claim.writes.push_back(
-      {kKey,
-       state::Json{{"node", platform_.node_name}, {"nonce", nonce_ + std::to_string(permit_)}},
-       permit_});
+  claim.writes.push_back({kKey, encode_holder(self_, permit_), permit_});
   const state::Committed committed = state_.commit(claim);
   vacant_ = false;
   if (committed.outcome == Outcome::ok) {
@@ -173,23 +172,66 @@
   }
 }
 
+// A process that ended and is back at once finds its predecessor's key, which would stand for
+// seconds, or for as long as the state service is out and a life more. Removed, not taken over:
+// another node that stood through it leads first, so that one that ends again and again does not
+// keep the lead from those that stand.
+void Campaign::bury(std::uint64_t stamp) {
+  state::Transaction burial;
+  burial.conditions = {{kKey, stamp}};
+  burial.writes.push_back({kKey, std::nullopt, std::nullopt});
+  const state::Committed committed = state_.commit(burial);
+  position_ = 0;  // whatever has become of it, look anew
+  if (committed.outcome == Outcome::ok) {
+    spdlog::info("the lead of the process before this one is over");
+    after_you_ = !platform_.members.empty();
+  } else if (committed.outcome != Outcome::conflict) {
+    pause(state::jittered(kRetry_s).count());
+  }
+}
+
+void Campaign::meet(const state::Json& value, std::uint64_t stamp) {
+  waited_ = vacant_ = false;
+  switch (holder_of(value, self_, permit_)) {
+    case Holder::ours:
+      set(stamp, platform_.node_name);
+      return;
+    case Holder::predecessor:
+      set(0, "");
+      bury(stamp);
+      return;
+    case Holder::unreadable:
+      spdlog::error("record {}: cannot be read, and is left alone", kKey);
+      set(0, "");
+      return;
+    case Holder::other:
+      set(0, node_of(value));
+  }
+}
+
+// A list, since it tells the epoch too. The key's own stamp may be older than any watch can reach:
+// a process that came back under a leader that had led for 10,000 changes asked for it and for the
+// watch in turn, as fast as it could.
+void Campaign::look() {
+  const state::Page page = state_.list(kKey, "");
+  if (page.outcome != Outcome::ok) {
+    pause(state::jittered(kRetry_s).count());
+    return;
+  }
+  position_ = page.epoch;
+  const auto entry = std::find_if(page.entries.begin(), page.entries.end(),
+                                  [](const state::Entry& one) { return one.key == kKey; });
+  if (entry == page.entries.end()) {
+    vacant_ = true;
+    set(0, "");
+  } else {
+    meet(entry->value, entry->stamp);
+  }
+}
+
 void Campaign::watch() {
   if (position_ == 0) {
-    const state::Found found = state_.get(kKey);
-    if (found.outcome == Outcome::ok) {
-      const std::string node = found.entry.value.value("node", "");
-      const bool ours =
-          permit_ != 0 && found.entry.value.value("nonce", "") == nonce_ + std::to_string(permit_);
-      position_ = found.entry.stamp;
-      waited_ = false;
-      set(ours ? found.entry.stamp : 0, node);
-    } else if (found.outcome == Outcome::absent) {
-      vacant_ = true;
-      position_ = found.epoch;
-      set(0, "");
-    } else {
-      pause(state::jittered(kRetry_s).count());
-    }
+    look();
     return;
   }
   const state::Changes changes = state_.follow(kKey, position_, millis(life_s_));
@@ -199,10 +241,14 @@
     return;
   }
   position_ = changes.epoch;
-  for (const state::Change& change : changes.changes) {
-    if (change.key != kKey) continue;
-    vacant_ = !change.value;
-    set(0, change.value ? change.value->value("node", "") : "");
+  const auto last = std::find_if(changes.changes.rbegin(), changes.changes.rend(),
+                                 [](const state::Change& change) { return change.key == kKey; });
+  if (last == changes.changes.rend()) return;
+  if (last->value) {
+    meet(*last->value, last->stamp);
+  } else {
+    vacant_ = true;
+    set(0, "");
   }
 }
 
--- a/src/leadership/campaign.h
+++ b/src/leadership/campaign.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <string>
 
+#include "leadership/holder.h"
 #include "settings/settings.h"
 #include "state/client.h"
 
@@ -43,13 +44,16 @@
   void stand();
   void keep();
   void watch();
+  void look();
+  void meet(const state::Json& value, std::uint64_t stamp);
+  void bury(std::uint64_t stamp);
   void set(std::uint64_t baton, const std::string& leader);
   void pause(double seconds);
 
   state::Client& state_;
   const settings::Platform& platform_;
   const double life_s_;
-  const std::string nonce_;
+  const Identity self_;
   std::mutex mutex_;
   std::condition_variable changed_;
   Standing standing_;
@@ -59,7 +63,8 @@
   std::uint64_t permit_ = 0;
   std::uint64_t position_ = 0;
   bool vacant_ = false;
-  bool waited_ = false;  // for another to stand first
+  bool waited_ = false;     // for another to stand first
+  bool after_you_ = false;  // this node's process before led: whoever stood through it goes first
 };
 
 }  // namespace reachramp::leadership
--- /dev/null
+++ b/src/leadership/holder.cpp
@@ -0,0 +1,32 @@
+#include "leadership/holder.h"
+
+namespace reachramp::leadership {
+
+namespace {
+
+std::string text_in(const wire::Json& value, const char* field) {
+  const wire::Json* found = value.is_object() ? wire::find(value, field) : nullptr;
+  return found != nullptr && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::string nonce_with(const Identity& self, std::uint64_t permit) {
+  return self.nonce + std::to_string(permit);
+}
+
+}  // namespace
+
+wire::Json encode_holder(const Identity& self, std::uint64_t permit) {
+  return {{"node", self.node}, {"at", self.at}, {"nonce", nonce_with(self, permit)}};
+}
+
+std::string node_of(const wire::Json& value) { return text_in(value, "node"); }
+
+Holder holder_of(const wire::Json& value, const Identity& self, std::uint64_t permit) {
+  const std::string node = node_of(value);
+  if (node.empty()) return Holder::unreadable;
+  if (node != self.node) return Holder::other;
+  if (permit != 0 && text_in(value, "nonce") == nonce_with(self, permit)) return Holder::ours;
+  return text_in(value, "at") == self.at ? Holder::predecessor : Holder::other;
+}
+
+}  // namespace reachramp::leadership
--- a/src/levels/book.cpp
+++ b/src/levels/book.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 #include "state/clock.h"
 
@@ -52,15 +53,32 @@
 Book::Book(state::Client& state, const settings::Platform& platform, const Speech& speech)
     : state_(state), speech_(speech), node_(platform.node_name), digest_(digest_of(platform)) {}
 
-// The claim of the process before us on this node may still stand, and says what that one spoke.
+// The claim of the process before us on this node may still stand. Where it says what we would say
+// it goes on under the same permit: a process that ends again and again writes nothing and leaves
+// no permits behind, and the claim does not flicker. Else it is replaced.
 bool Book::announce() {
   const state::Found before = state_.get(claim_key(node_));
   if (before.outcome != Outcome::ok && before.outcome != Outcome::absent) return false;
+  const Claim claim{
+      node_, speech_.version, speech_.oldest, speech_.newest, speech_.hold_at, digest_, 0};
+  switch (before.outcome == Outcome::ok ? heir_of(before.entry, claim) : Heir::replaces) {
+    case Heir::leaves:
+      if (!std::exchange(told_unreadable_, true)) {
+        spdlog::error("record {}: cannot be read, and is left alone", claim_key(node_));
+      }
+      return false;
+    case Heir::goes_on:
+      if (state_.renew(before.entry.permit) == Outcome::ok) {
+        permit_ = before.entry.permit;
+        return true;
+      }
+      return false;  // it has just ended; the next look shows it
+    case Heir::replaces:
+      break;
+  }
   const state::Permit permit = state_.hold(millis(kClaimLife_s));
   if (permit.outcome != Outcome::ok) return false;
   permit_ = permit.id;
-  const Claim claim{
-      node_, speech_.version, speech_.oldest, speech_.newest, speech_.hold_at, digest_, 0};
   state::Transaction announcement;
   announcement.conditions = {
       {claim_key(node_), before.outcome == Outcome::ok ? before.entry.stamp : 0}};
--- a/src/levels/book.h
+++ b/src/levels/book.h
@@ -47,7 +47,8 @@
   std::uint64_t position_ = 0;  // of the watch
   std::mutex mutex_;
   std::optional<std::uint64_t> stamp_;
-  std::string told_;    // why it is locked out, as last logged
+  std::string told_;  // why it is locked out, as last logged
+  bool told_unreadable_ = false;
   std::string differ_;  // nodes with other settings, as last logged
   std::atomic<bool> locked_{false};
   std::atomic<bool> yields_{false};
--- a/src/levels/levels.cpp
+++ b/src/levels/levels.cpp
@@ -5,10 +5,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "jobs/spec.h"
-#include "shares/accounts.h"
-#include "state/timeline.h"
-
 namespace reachramp::levels {
 
 namespace {
@@ -35,21 +31,6 @@
 
 }  // namespace
 
-bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level) {
-  if (key == state::kTimelineKey) return level < kAges;
-  if (key == shares::kSharesKey) return level < kShares;
-  if (key.starts_with("pool/")) {
-    return level >= kClosedPools && !(value.is_object() && value.value("open", false));
-  }
-  const auto chunk = level >= kAges ? jobs::parse_chunk_key(key) : std::nullopt;
-  return chunk && chunk->format == jobs::Format::whole;
-}
-
-bool is_stale_at_any(const std::string& key, const wire::Json& value) {
-  return std::any_of(kTable.begin(), kTable.end(),
-                     [&](const Level& level) { return is_stale(key, value, level.number); });
-}
-
 std::string claim_key(const std::string& node) { return kClaims + node; }
 
 state::Json encode_claim(const Claim& claim) {
@@ -77,6 +58,15 @@
   return claim;
 }
 
+Heir heir_of(const state::Entry& before, const Claim& own) {
+  try {
+    decode_claim(before);
+  } catch (const std::exception&) {
+    return Heir::leaves;
+  }
+  return before.permit != 0 && before.value == encode_claim(own) ? Heir::goes_on : Heir::replaces;
+}
+
 std::vector<Claim> decode_claims(const std::vector<state::Entry>& entries) {
   std::vector<Claim> claims;
   for (const state::Entry& entry : entries) {
--- a/src/levels/levels.h
+++ b/src/levels/levels.h
@@ -44,6 +44,10 @@
 state::Json encode_claim(const Claim& claim);
 // Throws wire::BadMessage.
 Claim decode_claim(const state::Entry& entry);
+// What a process does with the claim that stands under its node's name, of a process that is dead:
+// it goes on with one that says the same, replaces another, and leaves alone what it cannot read.
+enum class Heir { goes_on, replaces, leaves };
+Heir heir_of(const state::Entry& before, const Claim& own);
 // Those that can be read; the others are as good as missing, and logged.
 std::vector<Claim> decode_claims(const std::vector<state::Entry>& entries);
 // Whether another process is of a later version than `version`: it should lead, being through with
--- a/src/levels/levels_test.cpp
+++ b/src/levels/levels_test.cpp
@@ -18,6 +18,27 @@
   return made;
 }
 
+// A process that ends again and again neither writes its claim anew each time nor leaves permits.
+TEST(Levels, AProcessGoesOnWithAClaimThatSaysTheSame) {
+  const Claim own{"node-1", "0.4.0", 1, kNewest, 0, 7, 0};
+  const auto before = [](const state::Json& value, std::uint64_t permit) {
+    return state::Entry{"claim/node-1", value, 30, permit};
+  };
+  EXPECT_EQ(heir_of(before(encode_claim(own), 9), own), Heir::goes_on);
+  EXPECT_EQ(heir_of(before(encode_claim(own), 0), own), Heir::replaces) << "it would never end";
+  Claim other = own;
+  other.newest = kCompact;
+  EXPECT_EQ(heir_of(before(encode_claim(other), 9), own), Heir::replaces);
+  other = own;
+  other.digest = 8;
+  EXPECT_EQ(heir_of(before(encode_claim(other), 9), own), Heir::replaces);
+  state::Json newer = encode_claim(own);
+  newer["more"] = 1;
+  EXPECT_EQ(heir_of(before(newer, 9), own), Heir::replaces) << "a later version says more";
+  EXPECT_EQ(heir_of(before("nonsense", 9), own), Heir::leaves);
+  EXPECT_EQ(heir_of(before({{"version", 4}}, 9), own), Heir::leaves);
+}
+
 TEST(Levels, OneStepAtATimeAndOnlyWithAllNodes) {
   const Stored start;
   auto step = next_step(start, claims(kNewest), kNodes);
@@ -62,7 +83,8 @@
             std::string::npos);
   speech.oldest = 3;
   EXPECT_NE(locked_out({}, speech).find("start a former"), std::string::npos);
-  EXPECT_NE(locked_out({kNewest + 1, kNewest, false}, Speech{}), "") << "a step back that is not through";
+  EXPECT_NE(locked_out({kNewest + 1, kNewest, false}, Speech{}), "")
+      << "a step back that is not through";
 }
 
 TEST(Levels, WhatCannotBeReadIsNoGround) {
--- a/src/levels/table.h
+++ b/src/levels/table.h
@@ -1,12 +1,10 @@
 // The levels of the stored state: what is written from each on, how the data get there and come
-// back. Every change of a record's form, and all behaviour that needs one, is a row here.
+// back. Every change of a record's form, and all behaviour that needs one, is a row here. Low down:
+// which of its records are stale at a level is each slice's own to say, beside their codec.
 #pragma once
 
 #include <array>
 #include <cstdint>
-#include <string>
-
-#include "wire/message.h"
 
 namespace reachramp::levels {
 
@@ -40,10 +38,4 @@
 
 inline const Level& row(std::uint32_t level) { return kTable[level - 1]; }
 
-// Whether the record is not of the form that is written at the level, so that a step to it is not
-// over while it stands.
-bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
-// At any level that this version knows.
-bool is_stale_at_any(const std::string& key, const wire::Json& value);
-
 }  // namespace reachramp::levels
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -207,6 +207,7 @@
   ++job.chunks[chunk].waiting;
   job.chunks[chunk].bytes += bytes_for(index, task, number, *hosts[host]);
   hosts[host]->attempts.insert({index, task});
+  hosts[host]->was_lent = false;
   hosts[host]->free -= job.need;
   charge(job, 1);
   touch(index, task, now);
@@ -277,7 +278,10 @@
     if (job->attempts.size() + job->done_count == job->spec.tasks || !within_limit(*job, 1))
       continue;
     for (const auto& host : hosts) {
-      if (host && host->lent && job->fits[host->type]) host->lent = false;
+      if (host && host->lent && job->fits[host->type] && (job->spec.spot || !host->spot) &&
+          (job->zone == kNone || job->zone == host->zone)) {
+        host->lent = false;
+      }
     }
   }
 }
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -153,10 +153,11 @@
   bool draining = false;
   // Kept for large tasks, of which none needs it now: instead of going back it serves small ones.
   bool lent = false;
-  bool runs = false;     // the cloud lists it as running, whether or not we have heard from it
-  double known_at = 0;   // when it was certainly rented
-  double rented_at = 0;  // when its charge began, as well as we know
-  double heard_at = -1;  // the last report
+  bool was_lent = false;  // since it last had work
+  bool runs = false;      // the cloud lists it as running, whether or not we have heard from it
+  double known_at = 0;    // when it was certainly rented
+  double rented_at = 0;   // when its charge began, as well as we know
+  double heard_at = -1;   // the last report
   std::uint64_t tenure = 0;
   std::uint64_t tick = 0;
   bool ours = false;  // the worker has seen our baton
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -269,13 +269,14 @@
 
 bool lend(Cluster& cluster, Index index) {
   Host& host = *cluster.hosts[index];
-  if (host.lent || cluster.type_of(host) == nullptr) return false;
+  if (host.lent || host.was_lent || cluster.type_of(host) == nullptr) return false;
   host.lent = std::any_of(cluster.jobs.begin(), cluster.jobs.end(), [&](const auto& job) {
     return job && !job->cancelled && !job->waits() && job->spec.shape == jobs::Shape::array &&
            job->attempts.size() + job->done_count < job->spec.tasks &&
            cluster.is_kept_from(*job, host) && (job->spec.spot || !host.spot) &&
            job->fits[host.type] && in_zone(*job, host.zone) && cluster.within_limit(*job, 1);
   });
+  host.was_lent = host.lent;
   return host.lent;
 }
 
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -231,6 +231,41 @@
   EXPECT_EQ(cluster_.jobs[job]->attempts.size(), 4u);
 }
 
+// Own days: one machine was lent, taken back for a large task that could not use it, and lent
+// again, every second, up to 605 times, and never went back.
+TEST_F(Plan, AMachineIsNotLentAgainBeforeItHasWorked) {
+  const Index host = machine("large", "a", true);
+  jobs::Header big = header(1, 30);
+  big.spec.team = "free";
+  const Index large = cluster_.add_job(big, 1, 0);
+  EXPECT_EQ(plan(cluster_, 1), 1);
+  cluster_.end_attempt(large, 0, 2);
+  cluster_.mark_done(large, 0, 2);
+  jobs::Header ordinary = header(1, 30);
+  ordinary.spec.id = "j-8";
+  ordinary.spec.team = "free";
+  ordinary.spec.spot = false;
+  cluster_.add_job(ordinary, 2, 2);
+  jobs::Header small = header(40, 1);
+  small.spec.id = "j-9";
+  small.spec.team = "free";
+  small.spec.zone = "a";
+  cluster_.add_job(small, 3, 2);
+  ASSERT_TRUE(lend(cluster_, host));
+  cluster_.keep_for_large(3);
+  EXPECT_TRUE(cluster_.hosts[host]->lent) << "the large one that waits may not use spot";
+  EXPECT_GT(plan(cluster_, 3), 0);
+  const Index idle = machine("large", "a", true);
+  ASSERT_TRUE(lend(cluster_, idle));
+  jobs::Header fitting = big;
+  fitting.spec.id = "j-10";
+  fitting.spec.zone = "a";
+  cluster_.add_job(fitting, 4, 3);
+  cluster_.keep_for_large(3.5);
+  EXPECT_FALSE(cluster_.hosts[idle]->lent) << "taken back";
+  EXPECT_FALSE(lend(cluster_, idle)) << "and, if it is not needed after all, given back";
+}
+
 // hunt-7b89-3: three machines that large tasks had needed before went back as "not needed" while
 // ten arrays waited.
 TEST_F(Plan, AMachineThatWouldGoBackIsLentOnce) {
--- a/src/shares/accounts.cpp
+++ b/src/shares/accounts.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "levels/table.h"
+
 namespace reachramp::shares {
 
 using placement::Job;
@@ -176,4 +178,8 @@
   return line;
 }
 
+bool is_stale(const std::string& key, const wire::Json&, std::uint32_t level) {
+  return key == kSharesKey && level < levels::kShares;
+}
+
 }  // namespace reachramp::shares
--- a/src/shares/accounts.h
+++ b/src/shares/accounts.h
@@ -13,6 +13,8 @@
 namespace reachramp::shares {
 
 inline constexpr const char* kSharesKey = "shares";
+// Whether it is a record of this slice that the level does not have, or has in another form.
+bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
 
 struct Account {
   std::uint64_t came = 0;
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -121,6 +121,9 @@
     if (found.outcome == Outcome::ok) {
       found.entry = {wire::text(answer.body, "k"), wire::need(answer.body, "value"),
                      wire::count(answer.body, "stamp")};
+      if (wire::find(answer.body, "permit") != nullptr) {
+        found.entry.permit = wire::count(answer.body, "permit");
+      }
     } else if (found.outcome == Outcome::absent) {
       found.epoch = wire::count(answer.body, "epoch");
     }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -28,6 +28,7 @@
   std::string key;
   Json value;
   std::uint64_t stamp = 0;
+  std::uint64_t permit = 0;  // that it hangs on, as far as a read of the key alone tells; 0: none
 };
 
 struct Found {
--- a/src/state/timeline.cpp
+++ b/src/state/timeline.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "levels/table.h"
+
 namespace reachramp::state {
 
 namespace {
@@ -91,4 +93,8 @@
   if (marks_.size() > kMostMarks) thin(now);
 }
 
+bool is_stale(const std::string& key, const wire::Json&, std::uint32_t level) {
+  return key == kTimelineKey && level < levels::kAges;
+}
+
 }  // namespace reachramp::state
--- a/src/state/timeline.h
+++ b/src/state/timeline.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "wire/message.h"
@@ -13,6 +14,8 @@
 namespace reachramp::state {
 
 inline constexpr const char* kTimelineKey = "timeline";
+// Whether it is a record of this slice that the level does not have, or has in another form.
+bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
 
 class Timeline {
  public:
--- a/src/wire/socket.cpp
+++ b/src/wire/socket.cpp
@@ -10,13 +10,20 @@
 #include <boost/asio/error.hpp>
 #include <cerrno>
 #include <charconv>
+#include <chrono>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 namespace reachramp::wire {
 
 namespace {
 
+// A process that is started a moment after the end of the one before may find that one's port still
+// taken. Past this it is somebody else's.
+constexpr auto kPortLingers = std::chrono::seconds(3);
+constexpr auto kTryPortEvery = std::chrono::milliseconds(20);
+
 sockaddr_in to_sockaddr(const Address& address) {
   sockaddr_in raw{};
   raw.sin_family = AF_INET;
@@ -95,8 +102,17 @@
   const int yes = 1;
   setsockopt(made.fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
   const sockaddr_in raw = to_sockaddr(on);
-  if (!made.is_open() || ::bind(made.fd_, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) ||
-      ::listen(made.fd_, 128)) {
+  const auto bind = [&] {
+    return made.is_open() &&
+           ::bind(made.fd_, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) == 0;
+  };
+  const auto until = std::chrono::steady_clock::now() + kPortLingers;
+  bool bound = bind();
+  while (!bound && errno == EADDRINUSE && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kTryPortEvery);
+    bound = bind();
+  }
+  if (!bound || ::listen(made.fd_, 128) != 0) {
     throw std::system_error(errno, std::generic_category(),
                             "cannot listen on " + on.host + ":" + std::to_string(on.port));
   }
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -276,6 +276,100 @@
   EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
+// What stands under the key, with its stamp; 0: nothing.
+std::pair<Json, std::uint64_t> stored(lab::StateServer& state, const std::string& key) {
+  return state.with([&](const lab::StateService& model) -> std::pair<Json, std::uint64_t> {
+    const auto at = model.items().find(key);
+    if (at == model.items().end()) return {Json(), 0};
+    return {at->second.value, at->second.stamp};
+  });
+}
+
+// Platforms start a process again within a fraction of a second, again and again. Whoever leads is
+// killed twenty times, then all are at once, five times.
+TEST_F(EndToEnd, WorkIsDoneWhileProcessesEndAgainAndAgain) {
+  ASSERT_TRUE(accepts(0, job("j-1", 60)));
+  const auto leader = [&] {
+    const Json value = stored(*state_, "leader").first;
+    for (int i = 0; i < kNodes; ++i) {
+      if (value.is_object() && value.value("node", "") == name(i)) return i;
+    }
+    return -1;
+  };
+  ASSERT_TRUE(within(30, [&] { return settled_level() == levels::kNewest; }));
+  const auto claims = [&] {
+    std::vector<std::uint64_t> stamps;
+    for (int i = 0; i < kNodes; ++i) stamps.push_back(stored(*state_, "claim/" + name(i)).second);
+    return stamps;
+  };
+  const std::vector<std::uint64_t> claimed = claims();
+  for (int round = 0; round < 20; ++round) {
+    ASSERT_TRUE(within(20, [&] { return leader() >= 0; }));
+    const int node = leader();
+    kill_node(node);
+    start(node);
+    std::this_thread::sleep_for(150ms);
+  }
+  ASSERT_TRUE(accepts(1, job("j-2", 20)));
+  for (int round = 0; round < 5; ++round) {
+    for (int i = 0; i < kNodes; ++i) kill_node(i);
+    for (int i = 0; i < kNodes; ++i) start(i);
+    std::this_thread::sleep_for(300ms);
+  }
+  EXPECT_EQ(claims(), claimed) << "not written anew, and never missing";
+  for (const char* id : {"j-1", "j-2"}) {
+    EXPECT_TRUE(within(60, [&] { return phase(2, id) == "done"; })) << id;
+  }
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
+// A second process with the same settings cannot have the ports, and has said nothing to the state
+// service in its node's name when it ends.
+TEST_F(EndToEnd, ASecondProcessOfANodeEndsWithoutAWord) {
+  ASSERT_TRUE(accepts(0, job("j-1", 3)));
+  ASSERT_TRUE(within(30, [&] { return settled_level() == levels::kNewest; }));
+  const auto keys = [&] {
+    std::map<std::string, std::uint64_t> stamps;
+    for (int i = 0; i < kNodes; ++i) {
+      stamps["claim/" + name(i)] = stored(*state_, "claim/" + name(i)).second;
+      stamps["member/" + name(i)] = stored(*state_, "member/" + name(i)).second;
+    }
+    stamps["leader"] = stored(*state_, "leader").second;
+    return stamps;
+  };
+  const auto before = keys();
+  for (int i = 0; i < kNodes; ++i) {
+    const pid_t first = std::exchange(pids_[i], 0);
+    start(i);
+    int status = 0;
+    ::waitpid(std::exchange(pids_[i], first), &status, 0);
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 1) << i;
+  }
+  EXPECT_EQ(keys(), before);
+}
+
+// Found by reading: under a leader that has led for longer than the state service remembers, a new
+// process asked for the key and for a watch from its old stamp in turn, without a pause.
+TEST_F(EndToEnd, AProcessThatComesBackUnderAnOldLeaderAsksLittle) {
+  ASSERT_TRUE(within(30, [&] { return settled_level() == levels::kNewest; }));
+  state_->with([](lab::StateService& model) {
+    for (int i = 0; i < 10050; ++i) model.commit({{}, {{"filler", Json(i), std::nullopt}}});
+  });
+  const Json leader = stored(*state_, "leader").first;
+  const int other = leader.at("node") == name(0) ? 1 : 0;
+  std::this_thread::sleep_for(2s);  // watches find their place again
+  const auto asked = [&] {
+    return state_->with([](const lab::StateService& model) { return model.asked(); });
+  };
+  kill_node(other);
+  start(other);
+  ASSERT_TRUE(within(20, [&] { return ask(other, "GET", "/ready").status == 200; }));
+  const std::uint64_t before = asked();
+  std::this_thread::sleep_for(3s);
+  EXPECT_LT(asked() - before, 300u) << "it was five times as many; 20 are usual";
+  EXPECT_EQ(stored(*state_, "leader").first, leader);
+}
+
 // A later version has taken the fleet on, or the record cannot be read: whoever does not know what
 // that means serves nobody until it does.
 TEST_F(EndToEnd, WhoDoesNotSpeakTheLevelServesNobody) {
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -4,7 +4,8 @@
 // leader keeps to meanwhile, and some time later the state service lowers its limits. Then they are
 // changed on, over the levels of the stored state: each node's process speaks some levels and
 // claims so for as long as it lives; processes die, come back as older ones, hold the fleet back;
-// claims outlive them. Whatever happens, the rules hold, and nobody who knows of levels writes a
+// claims outlive them, and a process that is back at once goes on with its predecessor's claim and
+// ends its lead. Whatever happens, the rules hold, and nobody who knows of levels writes a
 // form that is older than the present one; when the trouble ends, all work is done and the last
 // step is settled.
 #include <gtest/gtest.h>
@@ -16,6 +17,8 @@
 #include <set>
 
 #include "controller/leader.h"
+#include "controller/stale.h"
+#include "leadership/holder.h"
 #include "model/state_service.h"
 
 namespace reachramp::test {
@@ -69,6 +72,10 @@
   double back_at = 0;
   double change_at = 0;  // when a later version is started here
   std::uint64_t permit = 0;
+  // Of the claim of the process that died here, and until when it lasts if nobody renews it.
+  std::uint64_t left_permit = 0;
+  double left_until = 0;
+  int processes = 0;  // that have run here
   // What it last claimed, and when that process was last alive.
   std::uint32_t claimed = 0;
   double claimed_until = 0;
@@ -143,7 +150,7 @@
     const levels::Stored stored = levels::decode_stored(at->second.value);
     return stored == levels::Stored{levels::kNewest, levels::kNewest, true} &&
            std::none_of(store_.items().begin(), store_.items().end(), [](const auto& item) {
-             return levels::is_stale(item.first, item.second.value, levels::kNewest);
+             return controller::is_stale(item.first, item.second.value, levels::kNewest);
            });
   }
   bool all_over() const {
@@ -210,12 +217,37 @@
 
   std::string name_of(const Node& node) const { return "node-" + std::to_string(&node - nodes_); }
 
+  leadership::Identity identity(const Node& node) const {
+    return {name_of(node), "127.0.0.1:1", std::to_string(node.processes) + "-"};
+  }
+
+  // Whoever is back while the key of the process before it stands ends that one's lead; 0.3.0 knows
+  // nothing of it.
+  void bury_predecessor(const Node& node) {
+    const auto at = store_.items().find("leader");
+    if (node.newest < levels::kAges || at == store_.items().end() ||
+        leadership::holder_of(at->second.value, identity(node), 0) !=
+            leadership::Holder::predecessor) {
+      return;
+    }
+    if (leader_ && seat_ == &node) break_rule("the lead of a living process is ended");
+    store_.commit({{{"leader", at->second.stamp}}, {{"leader", std::nullopt, std::nullopt}}});
+    elect_at_ = std::min(elect_at_, now_ + 0.1);
+  }
+
   void claim(Node& node) {
     if (node.permit != 0) store_.release(node.permit);
     node.permit = 0;
     if (node.newest < levels::kAges) return;
-    node.permit = store_.hold(1e9, now_);
     const levels::Claim claim{name_of(node), "0.4.0", 1, node.newest, node.hold_at, 0, 0};
+    const auto at = store_.items().find(levels::claim_key(claim.node));
+    if (at != store_.items().end() &&
+        levels::heir_of({at->first, at->second.value, at->second.stamp, at->second.permit},
+                        claim) == levels::Heir::goes_on) {
+      node.permit = std::exchange(node.left_permit, 0);
+      return;
+    }
+    node.permit = store_.hold(1e9, now_);
     store_.commit(
         {{}, {{levels::claim_key(claim.node), levels::encode_claim(claim), node.permit}}});
     node.claimed = node.newest;
@@ -223,9 +255,14 @@
 
   void live(Node& node) {
     if (now_ < upgraded_at_) return;
+    if (node.left_permit != 0 && now_ >= node.left_until) {
+      store_.release(std::exchange(node.left_permit, 0));
+    }
     if (!node.alive && now_ >= node.back_at) {
       node.alive = true;
+      ++node.processes;
       claim(node);
+      bury_predecessor(node);
     }
     if (!node.alive) return;
     node.claimed_until = now_;
@@ -241,9 +278,10 @@
       node.hold_at = chance(0.5) ? static_cast<std::uint32_t>(between(2, 6)) : 0;
     }
     node.alive = false;
-    node.back_at = now_ + between(1, chance(0.1) ? 60 : 6);
-    const std::uint64_t permit = std::exchange(node.permit, 0);
-    later(between(0, levels::kClaimLife_s), [this, permit] { store_.release(permit); });
+    node.back_at = now_ + (chance(0.4) ? between(0, 0.5) : between(1, chance(0.1) ? 60 : 6));
+    if (node.left_permit != 0) store_.release(node.left_permit);
+    node.left_permit = std::exchange(node.permit, 0);
+    node.left_until = now_ + between(0, levels::kClaimLife_s);
     if (leader_ && seat_ == &node) {
       leader_.reset();
       const std::uint64_t lead = std::exchange(permit_, 0);
@@ -262,14 +300,14 @@
         std::any_of(transaction.conditions.begin(), transaction.conditions.end(),
                     [](const auto& condition) { return condition.first == levels::kLevelKey; });
     for (const state::Write& write : transaction.writes) {
-      if (knows && write.value && levels::is_stale(write.key, *write.value, before.writes)) {
+      if (knows && write.value && controller::is_stale(write.key, *write.value, before.writes)) {
         break_rule("an older form: " + write.key);
       }
       if (write.key != levels::kLevelKey) continue;
       const levels::Stored after = levels::decode_stored(write.value);
       if (after.settled) {
         for (const auto& [key, item] : store_.items()) {
-          if (levels::is_stale(key, item.value, after.writes) && !old_led_) {
+          if (controller::is_stale(key, item.value, after.writes) && !old_led_) {
             break_rule("settled over " + key);
           }
         }
@@ -317,7 +355,9 @@
     const bool old = seat_->newest == levels::kCompact;
     old_led_ = old_led_ || (old && present > levels::kCompact);
     permit_ = store_.hold(1e9, now_);
-    const auto won = store_.commit({{{"leader", 0}}, {{"leader", Json{{"node", "x"}}, permit_}}});
+    const auto won = store_.commit(
+        {{{"leader", 0}},
+         {{"leader", leadership::encode_holder(identity(*seat_), permit_), permit_}}});
     ASSERT_EQ(won.outcome, state::Outcome::ok);
     controller::Snapshot snapshot;
     snapshot.jobs = store_.list("job/");
@@ -366,7 +406,7 @@
     if (outbox.read_stale) {
       std::vector<state::Entry> stale;
       for (const auto& [key, item] : store_.items()) {
-        if (levels::is_stale_at_any(key, item.value))
+        if (controller::is_stale_at_any(key, item.value))
           stale.push_back({key, item.value, item.stamp});
       }
       later(delay(), [this, baton, stale] {
