Draining: machines emptied and replaced in steps, within each team's budget

Need: the users want a fleet renewed at night with nobody there. There was one flag, set by notices and faults, that stopped all that saves at once, whosever it was, and died with the leader.

Change: slice `drains`, turned on by a section of the policy: machines by name, pool, age or serial are emptied or replaced in steps; voluntary stops (drains, steps, preemption) ask one budget a team that counts first what is down anyway; a place is kept for what moves; gangs are told at their workers' own addresses, together. The policy's errors name their line.

--- a/src/acquire/buyer.cpp
+++ b/src/acquire/buyer.cpp
@@ -97,7 +97,15 @@
   return type == nullptr ? 1 : price_per_hour(*type, pool.spot);
 }
 
+void Buyer::close(std::set<Pool> pools) { closed_ = std::move(pools); }
+
+bool Buyer::refuses(const Pool& pool, double now) const {
+  const auto book = books_.find(pool);
+  return book != books_.end() && now < book->second.refused_until;
+}
+
 bool Buyer::may_ask(const Pool& pool, double now) const {
+  if (closed_.contains(pool)) return false;
   const auto book = books_.find(pool);
   return book == books_.end() || (book->second.asked == 0 && now >= book->second.refused_until);
 }
@@ -238,7 +246,8 @@
   std::vector<Index> idle;
   for (Index i = 0; i < cluster.hosts.size(); ++i) {
     const auto& host = cluster.hosts[i];
-    if (!host || host->phase != HostPhase::up || !host->attempts.empty() || host->type == kNone) {
+    if (!host || host->phase != HostPhase::up || !host->attempts.empty() || host->type == kNone ||
+        host->reserved > 0) {
       continue;
     }
     // What is charged already is kept: a machine costs its least charge in any case.
--- a/src/acquire/buyer.h
+++ b/src/acquire/buyer.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "acquire/tributary.h"
@@ -47,12 +48,18 @@
   void note_asked(const Pool& pool, int machines);
   void note_answered(const Pool& pool);
 
+  // Nothing is rented there while they are closed.
+  void close(std::set<Pool> pools);
+  // The cloud has had none there of late.
+  bool refuses(const Pool& pool, double now) const;
   bool may_ask(const Pool& pool, double now) const;
   std::vector<Wish> wishes(const Cluster& cluster, double now) const;
   // Idle machines to return now, safest first.
   std::vector<Index> surplus(const Cluster& cluster, double now) const;
 
   double reclaim_chance(const Pool& pool) const;
+  // Of a machine, for an hour.
+  double price(const Cluster& cluster, const Pool& pool) const;
 
  private:
   struct Book {
@@ -77,10 +84,10 @@
   // The least V of each group as covered.
   std::vector<double> values(const Cluster& cluster, double now,
                              const std::vector<Group>& groups) const;
-  double price(const Cluster& cluster, const Pool& pool) const;
 
   settings::Policy policy_;
   std::map<Pool, Book> books_;
+  std::set<Pool> closed_;
   double exposed_at_ = -1;
 };
 
--- a/src/acquire/demand.cpp
+++ b/src/acquire/demand.cpp
@@ -32,8 +32,8 @@
 
 bool counts(const Cluster& cluster, const Host& host, double now) {
   const auto* type = cluster.type_of(host);
-  if (type == nullptr || host.draining || host.phase == HostPhase::leaving ||
-      host.faults >= placement::kTooManyFaults) {
+  if (type == nullptr || host.draining || host.going || host.outgoing ||
+      host.phase == HostPhase::leaving || host.faults >= placement::kTooManyFaults) {
     return false;
   }
   return host.phase == HostPhase::up || host.runs ||
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 
 #include "controller/node.h"
+#include "drains/desk.h"
 #include "settings/settings.h"
 
 namespace {
@@ -67,11 +68,13 @@
     const settings::Platform platform = settings::load_platform(config);
     const settings::Policy policy =
         policy_path.empty() ? settings::Policy{} : settings::load_policy(policy_path);
+    if (policy.drains) drains::read_rules(*policy.drains, platform, policy_path);
     if (!serve->parsed()) {
       std::cout << "settings are valid\n";
       return 0;
     }
-    controller::Node(platform, policy).run();
+    std::signal(SIGHUP, [](int) { drains::Desk::hurry(); });
+    controller::Node(platform, policy, policy_path).run();
   } catch (const reachramp::settings::BadSettings& error) {
     std::cerr << "reachramp: " << error.what() << "\n";
     return kBadSettings;
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -79,6 +79,14 @@
       shares_unreadable_ = true;
     }
   }
+  if (snapshot.drains_used) {
+    ledger_.know(drains::kUsedKey, snapshot.drains_used->stamp);
+    try {
+      drains_.inherit(snapshot.drains_used->value, now);
+    } catch (const std::exception& error) {
+      spdlog::error("record {}: {}", drains::kUsedKey, error.what());
+    }
+  }
   if (snapshot.told_timeline) {
     ledger_.know(state::kTimelineKey, snapshot.told_timeline->stamp);
     try {
@@ -124,6 +132,7 @@
     asked_at_[hire.name] = now;
     out_.cloud.push_back({CloudOrder::Kind::hire, hire, {}});
   }
+  if (levels::has(level_, levels::kDrains)) on_drains(snapshot.drains, now);
   const auto stale = [&](const state::Entry& entry) {
     return is_stale(entry.key, entry.value, level_.writes);
   };
@@ -418,7 +427,13 @@
     replan_ = false;
     look_at_parked_ = true;
     planned_at_ = now;
-    if (placement::plan(cluster_, now) > 0) rebuy_ = true;
+    if (drains_.settle(cluster_, now) > 0) rebuy_ = true;
+    const placement::Gate gate = [&](const std::vector<Index>& jobs) {
+      return drains_.may_yield(cluster_, jobs, now);
+    };
+    if (placement::plan(cluster_, now, drains_.in_force() ? gate : placement::Gate{}) > 0) {
+      rebuy_ = true;
+    }
   }
   // A leader whose watch on the jobs has stopped may have been replaced: its machines are silent
   // because they report to another. It answers workers, and leaves the fleet alone.
@@ -427,6 +442,7 @@
     upkeep_at_ = now;
     upkeep(now);
   }
+  if (current) drain(now);
   const double since_buy = now - bought_at_;
   // Records only name machines. Until a list or their reports tell what they are and that they run
   // they count for nothing, and each new leader rented the whole fleet once more.
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -12,6 +12,7 @@
 
 #include "acquire/buyer.h"
 #include "controller/ledger.h"
+#include "drains/drains.h"
 #include "levels/levels.h"
 #include "placement/cluster.h"
 #include "settings/settings.h"
@@ -32,7 +33,9 @@
   std::vector<CloudOrder> cloud;
   std::vector<std::string> look_up;  // jobs whose ends are to be read
   std::vector<std::string> greet;    // machines to be sent empty orders that carry our baton
+  std::vector<std::pair<std::string, state::Json>> stop_now;  // addresses, bodies of /orders
   bool resign = false;
+  bool read_drains = false;  // the record of what is to be drained
   bool read_claims = false;  // what the processes on all nodes speak
   bool read_stale = false;   // records that are not of the level's form, by strong reads
 };
@@ -44,6 +47,8 @@
   std::optional<state::Entry> catalog;
   std::optional<state::Entry> level;
   std::optional<state::Entry> shares;
+  std::optional<state::Entry> drains;
+  std::optional<state::Entry> drains_used;
   bool all_upgraded = false;  // no node runs a version that knows whole records only
   state::Timeline timeline;   // what this node knows of when stamps were given
   std::optional<state::Entry> told_timeline;  // what earlier leaders wrote of it
@@ -70,6 +75,9 @@
   void on_claims(const std::vector<state::Entry>& entries);
   // All stale records that strong reads showed, which began after this leader had asked for them.
   void on_stale(const std::vector<state::Entry>& entries, double now);
+  // The record of what is to be drained; nothing: there is none.
+  void on_drains(const std::optional<state::Entry>& entry, double now);
+  const drains::Drains& drains() const { return drains_; }
   const levels::Stored& level() const { return level_; }
   void on_settled(const state::Committed& committed, double now);
   void on_catalog(const cloud::Catalog& catalog, double now);
@@ -101,6 +109,8 @@
   void commit(double now);
   void tell_timeline(double now);
   void tell_shares(double now);
+  void drain(double now);
+  void end_drains();
   void watch_levels(double now);
   void write_level(const levels::Stored& to,
                    std::vector<std::pair<std::string, std::uint64_t>> given);
@@ -116,6 +126,13 @@
   acquire::Buyer buyer_;
   Ledger ledger_;
   state::Bucket writes_;
+  drains::Drains drains_;
+  std::string bad_drains_;          // why the record is not in force, as last logged
+  std::uint64_t drains_stamp_ = 0;  // of the record in force
+  bool rolling_ = true;             // until claims show that it is not
+  double drains_asked_at_ = -1e9;
+  double drained_at_ = -1e9;
+  double drains_stored_at_ = -1e9;
   levels::Speech speech_;
   levels::Stored level_;
   std::string refused_step_;       // as last logged
--- /dev/null
+++ b/src/controller/leader_drains.cpp
@@ -0,0 +1,88 @@
+// The leader and the machines that operators want emptied: the record that says so, and what comes
+// of it.
+#include <spdlog/spdlog.h>
+
+#include "controller/leader.h"
+#include "settings/tree.h"
+
+namespace reachramp::controller {
+
+namespace {
+
+constexpr double kReadEvery_s = 5;
+constexpr double kPassEvery_s = 0.5;
+constexpr double kStoreEvery_s = 10;
+
+}  // namespace
+
+void Leader::end_drains() {
+  if (!drains_.in_force()) return;
+  drains_.end_all(cluster_);
+  buyer_.close({});
+  drains_stamp_ = 0;
+  replan_ = rebuy_ = true;
+}
+
+void Leader::on_drains(const std::optional<state::Entry>& entry, double now) {
+  if (!entry) {
+    end_drains();
+    return;
+  }
+  if (entry->stamp == drains_stamp_) return;
+  try {
+    const drains::Accepted accepted = drains::decode_accepted(entry->value);
+    const std::string where = std::string("record ") + drains::kRulesKey;
+    drains::Rules rules =
+        drains::read_rules(settings::parse_tree(accepted.text, where), platform_, where);
+    std::map<std::uint64_t, double> times;
+    for (const auto& [serial, stamp] : accepted.stamps) {
+      times[serial] = timeline_.time_of(stamp, now);
+    }
+    times[accepted.serial] = timeline_.time_of(entry->stamp, now);
+    drains_.rule(std::move(rules), std::move(times), now);
+    drains_stamp_ = entry->stamp;
+    bad_drains_.clear();
+    replan_ = rebuy_ = true;
+  } catch (const std::exception& error) {
+    if (bad_drains_ == error.what()) return;
+    bad_drains_ = error.what();
+    spdlog::error("record {}: {}: what was in force goes on", drains::kRulesKey, bad_drains_);
+  }
+}
+
+void Leader::drain(double now) {
+  if (!levels::has(level_, levels::kDrains)) {
+    end_drains();
+    return;
+  }
+  if (now - drains_asked_at_ >= kReadEvery_s) {
+    drains_asked_at_ = now;
+    out_.read_drains = true;
+  }
+  if (!drains_.in_force() || now - drained_at_ < kPassEvery_s || !listed_) return;
+  drained_at_ = now;
+  const drains::Conditions conditions{
+      rolling_,
+      [&](const placement::Pool& pool) { return buyer_.refuses(pool, now); },
+      [&](const placement::Pool& pool) { return buyer_.price(cluster_, pool); },
+  };
+  const drains::Wishes wishes = drains_.pass(cluster_, conditions, now);
+  for (const Index index : wishes.back) give_back(index, "it is drained");
+  for (const Index index : wishes.stop_now) {
+    const placement::Host& host = *cluster_.hosts[index];
+    if (host.address.empty()) continue;
+    const auto stops = workers::stops_for(cluster_, index);
+    wire::Json body = workers::encode_response(cluster_.baton, stops);
+    body["tenure"] = host.tenure;
+    out_.stop_now.emplace_back(host.address, std::move(body));
+  }
+  if (!wishes.back.empty() || !wishes.stop_now.empty()) replan_ = rebuy_ = true;
+  buyer_.close(drains_.closed(cluster_));
+  if (!drains_.has_changed() || now - drains_stored_at_ < kStoreEvery_s) return;
+  drains_stored_at_ = now;
+  drains_.note_written();
+  const state::Json value = drains_.encode(cluster_, now);
+  if (state::fits(value, platform_.lasting().value_kb)) ledger_.write({drains::kUsedKey, value});
+}
+
+}  // namespace reachramp::controller
--- a/src/controller/leader_levels.cpp
+++ b/src/controller/leader_levels.cpp
@@ -42,7 +42,13 @@
   if (!all_upgraded_) return;
   std::vector<std::string> nodes{platform_.node_name};
   for (const settings::Member& member : platform_.members) nodes.push_back(member.name);
-  auto step = levels::next_step(level_, levels::decode_claims(entries), nodes);
+  const std::vector<levels::Claim> claims = levels::decode_claims(entries);
+  rolling_ = !level_.settled || std::any_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+    return std::none_of(claims.begin(), claims.end(), [&](const levels::Claim& claim) {
+      return claim.node == node && claim.version == speech_.version;
+    });
+  });
+  auto step = levels::next_step(level_, claims, nodes);
   if (!step) {
     refused_step_.clear();
   } else if (step->refused.empty()) {
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -107,6 +107,71 @@
   EXPECT_EQ(starts(31.4), 1u);
 }
 
+// A record that a node has accepted empties a zone; taken away, what is not empty yet serves again.
+// One that cannot be read changes nothing.
+TEST_F(LeaderTest, DrainsWhatTheRecordSays) {
+  Snapshot taken = snapshot({job_entry("j-1", 3)});
+  const levels::Stored newest{levels::kNewest, levels::kNewest, true};
+  taken.level = state::Entry{levels::kLevelKey, levels::encode_stored(newest), 4};
+  const auto record = [](std::uint64_t serial, const std::string& entries) {
+    const std::string text = "(drains (serial " + std::to_string(serial) + ") " + entries + ")";
+    return drains::encode_accepted({serial, text, {}});
+  };
+  Leader leader = lead(taken);
+  const levels::Claim claim{"", REACHRAMP_VERSION, 1, levels::kNewest, 0, 0, 0};
+  const auto live = [&](double from, double until) {
+    std::vector<std::string> back;
+    for (double now = from; now < until; now += 0.5) {
+      hear(leader, 1, now);
+      leader.on_jobs_current(now);
+      leader.on_claims({{levels::claim_key(""), levels::encode_claim(claim), 9}});
+      const Outbox out = leader.advance(now);
+      for (const CloudOrder& order : out.cloud) {
+        if (order.kind == CloudOrder::Kind::give_back) {
+          back.insert(back.end(), order.machines.begin(), order.machines.end());
+        }
+      }
+      if (out.commit) leader.on_settled(outcome(state::Outcome::ok, 50), now);
+    }
+    return back;
+  };
+  leader.on_list({{"n-1", "", "small", "a", true, cloud::MachinePhase::running, 20}}, 1, 1);
+  live(1, 5);
+  const placement::Host& host = *leader.cluster().hosts.front();
+  ASSERT_FALSE(host.attempts.empty());
+  leader.on_drains(state::Entry{drains::kRulesKey, record(3, "(machines (zone a))"), 60}, 5);
+  live(5, 6);
+  EXPECT_TRUE(host.going);
+  leader.on_drains(state::Entry{drains::kRulesKey, "nonsense", 61}, 6);
+  leader.on_drains(state::Entry{drains::kRulesKey, record(4, "(machines (zones a))"), 62}, 6);
+  live(6, 7);
+  EXPECT_TRUE(host.going) << "what was in force goes on";
+  leader.on_drains(std::nullopt, 7);
+  live(7, 8);
+  EXPECT_FALSE(host.going);
+  leader.on_drains(state::Entry{drains::kRulesKey, record(5, "(machines (zone a))"), 63}, 8);
+  EXPECT_TRUE(live(8, 30).empty()) << "it works";
+  // Its tasks end: the report lists none.
+  std::vector<std::string> back;
+  for (double now = 30; now < 80 && back.empty(); now += 2) {
+    workers::Report idle = report(1, 100000 + static_cast<std::uint64_t>(now * 10));
+    for (const auto& ref : std::set(host.attempts)) {
+      idle.pieces.push_back({"j-1", ref.task,
+                             leader.cluster().jobs[ref.job]->attempts.at(ref.task).number,
+                             workers::PieceState::exited, workers::Cause::done});
+    }
+    leader.on_report(
+        idle, [](const wire::Json&) {}, now);
+    leader.on_jobs_current(now);
+    const Outbox out = leader.advance(now);
+    for (const CloudOrder& order : out.cloud) {
+      if (order.kind == CloudOrder::Kind::give_back) back = order.machines;
+    }
+    if (out.commit) leader.on_settled(outcome(state::Outcome::ok, 50), now);
+  }
+  EXPECT_EQ(back, std::vector<std::string>{"n-1"});
+}
+
 TEST_F(LeaderTest, AccountsThatCannotBeReadAreLeftAlone) {
   const auto written = [&](const state::Json& stored) {
     Snapshot taken = snapshot({job_entry("j-1", 1)});
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -39,7 +39,8 @@
 
 }  // namespace
 
-Node::Node(const settings::Platform& platform, const settings::Policy& policy)
+Node::Node(const settings::Platform& platform, const settings::Policy& policy,
+           const std::string& policy_path)
     : platform_(platform),
       policy_(policy),
       state_(platform_.state, platform_.state_limits.rps * 0.6),
@@ -51,7 +52,9 @@
       relay_(platform_),
       health_(state_, platform_),
       door_(state_, platform_, members_, book_, [this] { return catalog(); }),
-      cloud_bucket_(platform_.cloud_limits.rps * 0.8, platform_.cloud_limits.rps) {}
+      cloud_bucket_(platform_.cloud_limits.rps * 0.8, platform_.cloud_limits.rps) {
+  if (!policy_path.empty()) desk_.emplace(state_, book_, platform_, policy_path);
+}
 
 // The doors first: whoever has not got them is a second process of this name, or there are too few
 // ports, and must not have said a word to the state service in its node's name.
@@ -68,6 +71,7 @@
   threads.emplace_back([this] { own(); });
   threads.emplace_back([this] { members_.run(); });
   threads.emplace_back([this] { book_.run([this](bool locked) { campaign_.bar(locked); }); });
+  if (desk_) threads.emplace_back([this] { desk_->run(); });
   threads.emplace_back([this] { commit(); });
   threads.emplace_back([this] { look_up(); });
   threads.emplace_back([this] { watch_jobs(); });
@@ -236,6 +240,7 @@
     void operator()(EndRead& in) const { leader.on_end_read(in.id, in.found, now); }
     void operator()(ClaimsRead& in) const { leader.on_claims(in.entries); }
     void operator()(StaleRead& in) const { leader.on_stale(in.entries, now); }
+    void operator()(DrainsRead& in) const { leader.on_drains(in.entry, now); }
     void operator()(Settled& in) const { leader.on_settled(in.committed, now); }
     void operator()(CatalogRead& in) const { leader.on_catalog(in.catalog, now); }
     void operator()(ListRead& in) const { leader.on_list(in.machines, in.asked_at, now); }
@@ -257,7 +262,11 @@
   for (std::string& job : outbox.look_up) look_ups_.push({What::end, baton, std::move(job)});
   if (outbox.read_claims) look_ups_.push({What::claims, baton});
   if (outbox.read_stale) look_ups_.push({What::stale, baton});
+  if (outbox.read_drains) look_ups_.push({What::drains, baton});
   for (CloudOrder& order : outbox.cloud) cloud_work_.push({baton, std::move(order)});
+  for (auto& [address, body] : outbox.stop_now) {
+    greetings_.push({baton, std::move(address), std::move(body)});
+  }
   for (std::string& address : outbox.greet) greetings_.push({baton, std::move(address)});
 }
 
@@ -292,6 +301,12 @@
   const state::Found shares = state_.get(shares::kSharesKey);
   if (shares.outcome != Outcome::ok && shares.outcome != Outcome::absent) return std::nullopt;
   if (shares.outcome == Outcome::ok) snapshot.shares = shares.entry;
+  for (const auto& [key, into] : {std::pair{drains::kRulesKey, &snapshot.drains},
+                                  std::pair{drains::kUsedKey, &snapshot.drains_used}}) {
+    const state::Found record = state_.get(key);
+    if (record.outcome != Outcome::ok && record.outcome != Outcome::absent) return std::nullopt;
+    if (record.outcome == Outcome::ok) *into = record.entry;
+  }
   const state::Found timeline = state_.get(state::kTimelineKey);
   if (timeline.outcome != Outcome::ok && timeline.outcome != Outcome::absent) return std::nullopt;
   if (timeline.outcome == Outcome::ok) snapshot.told_timeline = timeline.entry;
@@ -369,6 +384,13 @@
       if (campaign_.standing().baton != work.baton) continue;
       if (work.what == LookUp::What::end) {
         commands_.push({work.baton, EndRead{work.job, state_.get(jobs::end_key(work.job))}});
+      } else if (work.what == LookUp::What::drains) {
+        const state::Found found = state_.get(drains::kRulesKey);
+        if (found.outcome == Outcome::ok) {
+          commands_.push({work.baton, DrainsRead{found.entry}});
+        } else if (found.outcome == Outcome::absent) {
+          commands_.push({work.baton, DrainsRead{}});
+        }
       } else if (work.what == LookUp::What::stale) {
         look_for_stale(work.baton);
       } else if (auto claims = read_all(levels::kClaims, nullptr)) {
@@ -501,11 +523,14 @@
       if (campaign_.standing().baton != greeting.baton) continue;
       try {
         wire::Client worker(wire::parse_address(greeting.address), 0, 2 * wire::kBodyLimit);
-        const wire::Answer status = worker.call("GET", "/status", nullptr, kGreetingLimit);
-        if (status.status != 200) continue;
-        const wire::Json body{{"baton", greeting.baton},
-                              {"tenure", workers::decode_report(status.body).tenure},
-                              {"orders", wire::Json::array()}};
+        wire::Json body = greeting.body;
+        if (body.is_null()) {
+          const wire::Answer status = worker.call("GET", "/status", nullptr, kGreetingLimit);
+          if (status.status != 200) continue;
+          body = {{"baton", greeting.baton},
+                  {"tenure", workers::decode_report(status.body).tenure},
+                  {"orders", wire::Json::array()}};
+        }
         const wire::Answer answer = worker.call("POST", "/orders", &body, kGreetingLimit);
         if (answer.status == 200 || answer.status == 409) {
           commands_.push({greeting.baton, DirectIn{workers::decode_report(answer.body)}});
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -13,6 +13,7 @@
 #include "cloud/client.h"
 #include "controller/leader.h"
 #include "controller/queue.h"
+#include "drains/desk.h"
 #include "jobs/door.h"
 #include "leadership/campaign.h"
 #include "levels/book.h"
@@ -27,7 +28,9 @@
 
 class Node {
  public:
-  Node(const settings::Platform& platform, const settings::Policy& policy);
+  // `policy_path`: empty if there is no file.
+  Node(const settings::Platform& platform, const settings::Policy& policy,
+       const std::string& policy_path);
   // Serves until the process ends.
   [[noreturn]] void run();
 
@@ -61,6 +64,9 @@
   struct StaleRead {
     std::vector<state::Entry> entries;
   };
+  struct DrainsRead {
+    std::optional<state::Entry> entry;
+  };
   struct Settled {
     state::Committed committed;
   };
@@ -81,7 +87,7 @@
   struct Command {
     std::uint64_t baton = 0;
     std::variant<TookLead, ReportIn, DirectIn, JobsChanged, JobsRead, EndRead, ClaimsRead,
-                 StaleRead, Settled, CatalogRead, ListRead, HireAnswered, Returned>
+                 StaleRead, DrainsRead, Settled, CatalogRead, ListRead, HireAnswered, Returned>
         what;
   };
   struct Commit {
@@ -93,13 +99,16 @@
     CloudOrder order;
   };
   struct LookUp {
-    enum class What { end, claims, stale } what = What::end;
+    enum class What { end, claims, stale, drains } what = What::end;
     std::uint64_t baton = 0;
     std::string job{};
   };
+  // What a worker is told at its own address: with a body, stops that cannot wait for its report;
+  // else nothing but our baton.
   struct Greeting {
     std::uint64_t baton = 0;
     std::string address;
+    wire::Json body{};
   };
 
   wire::Reply serve(const wire::Request& request);
@@ -133,6 +142,7 @@
   cloud::Client cloud_;
   levels::Speech speech_;
   levels::Book book_;
+  std::optional<drains::Desk> desk_;
   leadership::Campaign campaign_;
   peers::Members members_;
   peers::Relay relay_;
--- a/src/controller/stale.cpp
+++ b/src/controller/stale.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "drains/rules.h"
 #include "jobs/spec.h"
 #include "levels/table.h"
 #include "shares/accounts.h"
@@ -16,7 +17,8 @@
          !(value.is_object() && value.value("open", false));
 }
 
-constexpr auto kSlices = {state::is_stale, jobs::is_stale, shares::is_stale, pool_is_stale};
+constexpr auto kSlices = {state::is_stale, jobs::is_stale, shares::is_stale, drains::is_stale,
+                          pool_is_stale};
 
 }  // namespace
 
--- /dev/null
+++ b/src/drains/rules_test.cpp
@@ -0,0 +1,124 @@
+#include "drains/rules.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace reachramp::drains {
+namespace {
+
+settings::Platform platform() {
+  settings::Platform p;
+  p.teams = {{"red", 0, 0, 0, 0}, {"blue", 0, 0, 0, 0}};
+  return p;
+}
+
+Rules read(const std::string& text) {
+  return read_rules(settings::parse_tree(text, "p.sexp"), platform(), "p.sexp");
+}
+
+std::string complaint(const std::string& text) {
+  try {
+    read(text);
+  } catch (const settings::BadSettings& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(Rules, DefaultsAndValues) {
+  const Rules rules = read(R"((drains (serial 7)
+    (budget (down 0.2) (stops-a-job 1))
+    (budget (team red) (down 0))
+    (machines (names n-1 n-2))
+    (machines (zone a) (spot no))
+    (replace (older-than-s 3600) (type g8))
+    (replace (before 6))
+    (steps (first 2) (most 0.25) (surge no))))");
+  EXPECT_EQ(rules.serial, 7u);
+  EXPECT_EQ(rules.budget_of("blue").down, 0.2);
+  EXPECT_EQ(rules.budget_of("red").down, 0);
+  EXPECT_EQ(rules.budget_of("red").stops_a_job, 1u) << "what it does not say is as for all";
+  ASSERT_EQ(rules.entries.size(), 4u);
+  EXPECT_FALSE(rules.entries[0].in_steps);
+  EXPECT_TRUE(rules.entries[1].match.is_of_pools());
+  EXPECT_EQ(rules.entries[2].match.older_than_s, 3600);
+  EXPECT_EQ(rules.entries[3].match.before, 6u);
+  EXPECT_EQ(rules.steps.first, 2u);
+  EXPECT_FALSE(rules.steps.surge);
+  EXPECT_EQ(read("(drains (serial 1))").budget, Budget{});
+}
+
+TEST(Rules, WhatIsWrongIsNamedByLineFieldAndReason) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"(drains)", "line 1: serial: missing, or 0"},
+      {"(drains (serial 0))", "line 1: serial: missing, or 0"},
+      {"(drains\n(serial 1.5))", "line 2: serial: not a whole number"},
+      {"(drains (serial 1)\n\n(budget (down 1.5)))", "line 3: down: must lie between 0 and 1"},
+      {"(drains (serial 1)\n(budget (team green)))", "line 2: team: no such team: green"},
+      {"(drains (serial 1)\n(budget (team red))\n(budget (team red)))",
+       "line 3: team: given twice: red"},
+      {"(drains (serial 1) (budget)\n(budget))", "line 2: budget: given twice for all teams"},
+      {"(drains (serial 1)\n(machines))", "line 2: machines: says of no machine"},
+      {"(drains (serial 1)\n(machines (spot maybe)))", "line 2: spot: must be yes or no"},
+      {"(drains (serial 1)\n(machines (names)))", "line 2: names: none, or too many"},
+      {"(drains (serial 1)\n(replace (type g8)))", "line 2: replace: the new ones"},
+      {"(drains (serial 1)\n(replace (before 2)))", "before: a serial that is yet to come"},
+      {"(drains (serial 1)\n(replace (older-than-s nan)))", "line 2: older-than-s: must lie"},
+      {"(drains (serial 1)\n(steps (frist 2)))", "line 2: frist: no such field of steps"},
+      {"(drains (serial 1)\n(drain (zone a)))", "line 2: drain: no such field of drains"},
+      {"(drains (serial 1)\nzone)", "drains: expected (name value)"},
+      {"(drains (serial 1) (soon-s 1)\n(soon-s 2))", "line 2: soon-s: given twice"},
+  };
+  for (const auto& [text, said] : cases) {
+    const std::string found = complaint(text);
+    EXPECT_EQ(found.find("p.sexp: line "), 0u) << text << ": " << found;
+    EXPECT_NE(found.find(said), std::string::npos) << text << ": " << found;
+  }
+  EXPECT_EQ(check_names(read("(drains (serial 1) (machines (type g9)) (machines (zone a)))"),
+                        {"g8"}, {"a"}),
+            std::vector<std::string>{"(machines (type g9)): no such type"});
+}
+
+RC_GTEST_PROP(Rules, NoTextMakesThemFailInAnotherWay, ()) {
+  static const char* const kWords[] = {
+      "(",     ")",    "drains",   "serial", "1",      "budget",       "team",      "red", "down",
+      "0.1",   "x",    "\"",       "names",  "before", "older-than-s", "replace",   "-1",  "\n",
+      "steps", "most", "machines", "1e999",  ";",      "spot",         "(serial 3)"};
+  std::string text = "(drains ";
+  for (const auto i : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 25))) {
+    text += std::string(kWords[i]) + " ";
+  }
+  try {
+    const Rules rules = read(text + ")");
+    RC_ASSERT(rules.serial > 0);
+  } catch (const settings::BadSettings&) {
+  }
+}
+
+TEST(Accepted, TheNewestSerialStandsAndEarlierOnesKeepTheirStamps) {
+  const auto first = accept(std::nullopt, 0, 3, "(drains (serial 3))");
+  ASSERT_TRUE(first);
+  EXPECT_TRUE(first->stamps.empty());
+  EXPECT_FALSE(accept(first, 40, 3, "(drains (serial 3) (soon-s 1))"))
+      << "not under the same number";
+  EXPECT_FALSE(accept(first, 40, 2, "(drains (serial 2))"));
+  auto next = accept(first, 40, 5, "(drains (serial 5))");
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->stamps.at(3), 40u);
+  next = decode_accepted(encode_accepted(*next));
+  EXPECT_EQ(next->serial, 5u);
+  EXPECT_EQ(next->text, "(drains (serial 5))");
+  for (std::uint64_t serial = 6; serial < 60; ++serial) {
+    next = accept(next, serial * 10, serial, "(drains)");
+  }
+  EXPECT_EQ(next->stamps.size(), 16u);
+  EXPECT_EQ(next->stamps.rbegin()->first, 58u);
+  for (const wire::Json& bad : {wire::Json("x"), wire::Json::object(), wire::Json{{"serial", -1}},
+                                wire::Json{{"serial", 1}, {"text", "x"}, {"stamps", {{1, "x"}}}},
+                                wire::Json{{"serial", 1}, {"text", "x"}, {"stamps", {1}}}}) {
+    EXPECT_THROW(decode_accepted(bad), wire::BadMessage) << bad.dump();
+  }
+}
+
+}  // namespace
+}  // namespace reachramp::drains
--- a/src/levels/book.cpp
+++ b/src/levels/book.cpp
@@ -90,8 +90,10 @@
 
 void Book::learn(const std::optional<state::Json>& value, std::uint64_t stamp) {
   std::string reason;
+  Stored stored;
   try {
-    reason = locked_out(decode_stored(value), speech_);
+    stored = decode_stored(value);
+    reason = locked_out(stored, speech_);
   } catch (const std::exception& error) {
     reason =
         fmt::format("record {}: {}: nothing is written on its strength", kLevelKey, error.what());
@@ -99,6 +101,7 @@
   std::lock_guard lock(mutex_);
   locked_ = !reason.empty();
   stamp_ = stamp;
+  stored_ = stored;
   if (reason != told_) {
     if (reason.empty()) {
       spdlog::info("serves again");
@@ -132,6 +135,12 @@
   return locked_ ? std::nullopt : stamp_;
 }
 
+std::optional<View> Book::view() {
+  if (!stamp()) return std::nullopt;
+  std::lock_guard lock(mutex_);
+  return locked_ ? std::nullopt : std::optional(View{stored_, stamp_.value_or(0)});
+}
+
 std::optional<std::uint64_t> Book::stamp() {
   {
     std::lock_guard lock(mutex_);
--- a/src/levels/book.h
+++ b/src/levels/book.h
@@ -27,7 +27,9 @@
   // What a node's write is to be conditional on; a look at the state service if it is not known
   // yet. Nothing: it does not answer, or this process is locked out.
   std::optional<std::uint64_t> stamp();
-  // The same, read anew: the level has changed behind our back.
+  // The same with the level itself.
+  std::optional<View> view();
+  // The stamp, read anew: the level has changed behind our back.
   std::optional<std::uint64_t> look();
   bool locked() const { return locked_; }
   // Whether another living process is of a later version, and should lead rather than this one.
@@ -47,6 +49,7 @@
   std::uint64_t position_ = 0;  // of the watch
   std::mutex mutex_;
   std::optional<std::uint64_t> stamp_;
+  Stored stored_;     // with that stamp
   std::string told_;  // why it is locked out, as last logged
   bool told_unreadable_ = false;
   std::string differ_;  // nodes with other settings, as last logged
--- a/src/levels/levels.h
+++ b/src/levels/levels.h
@@ -68,6 +68,12 @@
 // be read, on whose strength nothing may be written.
 Stored decode_stored(const std::optional<state::Json>& value);
 
+// The stored level and its record's stamp; 0: there is no record.
+struct View {
+  Stored stored;
+  std::uint64_t stamp = 0;
+};
+
 inline bool has(const Stored& stored, std::uint32_t level) { return stored.writes >= level; }
 // Why a process that speaks so must serve nobody; empty: it may.
 std::string locked_out(const Stored& stored, const Speech& speech);
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -224,6 +224,8 @@
   charge(job, -1);
   make_durable(job, task);
   job.chunks[job.chunk_of(task)].bytes -= bytes_for(index, task, at->second.number, host);
+  const bool ran = at->second.running_since >= 0 || at->second.inherited;
+  if (ran && !job.done[task] && !job.cancelled) job.down[task] = {now, at->second.voluntary};
   if (!job.done[task]) job.last_attempt = std::max(job.last_attempt, at->second.number);
   job.attempts.erase(at);
   job.hint = std::min(job.hint, task);
@@ -236,6 +238,7 @@
   Job& job = *jobs[index];
   if (job.done[task]) return;
   job.done[task] = true;
+  job.down.erase(task);
   ++job.done_count;
   const auto twin = job.attempts.find(task);
   if (twin != job.attempts.end()) twin->second.stopping = true;
@@ -243,16 +246,24 @@
   notice_over(index);
 }
 
-void Cluster::stop(Index index, std::uint32_t task, double wind_down_s) {
+void Cluster::note_running(Job& job, std::uint32_t task, double since) {
+  Attempt& attempt = job.attempts.at(task);
+  if (attempt.running_since < 0) attempt.running_since = since;
+  job.down.erase(task);
+}
+
+void Cluster::stop(Index index, std::uint32_t task, double wind_down_s, bool voluntary) {
   Attempt& attempt = jobs[index]->attempts.at(task);
   if (attempt.stopping) return;
   attempt.stopping = true;
+  attempt.voluntary = voluntary;
   attempt.wind_down_s = wind_down_s;
 }
 
 void Cluster::cancel(Index index, double now) {
   Job& job = *jobs[index];
   job.cancelled = true;
+  job.down.clear();
   for (auto& [task, attempt] : job.attempts) {
     attempt.stopping = true;
     attempt.wind_down_s = 0;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -37,12 +37,19 @@
   bool sent = false;
   std::uint64_t sent_tick = 0;  // the report whose answer carried the start
   bool stopping = false;
+  bool voluntary = false;  // stopped for the sake of other work or of its machine
   double wind_down_s = 0;
   // When it was intended; of one that an earlier leader placed, at the latest.
   double placed_at = 0;
   double running_since = -1;
 };
 
+// A task that ran, and does not: it is not done, and its next attempt does not run yet.
+struct Down {
+  double since = 0;
+  bool voluntary = false;
+};
+
 // One record of a job's tasks. It is dirty while `changed` is ahead of `stored`.
 struct Chunk {
   std::uint32_t first = 0;
@@ -80,6 +87,7 @@
   std::vector<bool> done;
   std::uint32_t done_count = 0;
   std::map<std::uint32_t, Attempt> attempts;
+  std::map<std::uint32_t, Down> down;  // under this leader
   // Gangs: the newest attempt. Else the highest number that ended without its task being done, so
   // that no task gets a number twice.
   std::uint64_t last_attempt = 0;
@@ -151,6 +159,11 @@
   bool spot = false;
   HostPhase phase = HostPhase::booting;
   bool draining = false;
+  // For the slice `drains`: takes nothing new and is being emptied; is to be replaced, and counts
+  // as gone where machines are rented; has room kept for so many tasks that move.
+  bool going = false;
+  bool outgoing = false;
+  std::uint32_t reserved = 0;
   // Kept for large tasks, of which none needs it now: instead of going back it serves small ones.
   bool lent = false;
   bool was_lent = false;  // since it last had work
@@ -261,7 +274,9 @@
   void mark_done(Index job, std::uint32_t task, double now);
   void cancel(Index job, double now);
   // Asks for the attempt's end; whoever stops first sets how long it may wind down.
-  void stop(Index job, std::uint32_t task, double wind_down_s);
+  void stop(Index job, std::uint32_t task, double wind_down_s, bool voluntary = false);
+  // The task's attempt runs.
+  void note_running(Job& job, std::uint32_t task, double since);
   // Notes the types that large tasks need, and forgets those that none has needed for long. What
   // was lent is theirs again as soon as one of them waits.
   void keep_for_large(double now);
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -8,6 +8,7 @@
 #include "placement/openings.h"
 #include "placement/order.h"
 #include "placement/preempt.h"
+#include "placement/zone_rules.h"
 
 namespace reachramp::placement {
 
@@ -18,39 +19,6 @@
 constexpr double kGiveWayAfter_s = 30;
 constexpr Usage kNothing{};
 
-// Tasks of the job by zone, ended attempts excepted. Nothing if one of them is in a zone that is
-// not known.
-std::optional<std::map<Index, std::uint32_t>> zones_in_use(const Cluster& cluster, const Job& job) {
-  std::map<Index, std::uint32_t> in_use;
-  for (const auto& [task, attempt] : job.attempts) {
-    const Index zone = cluster.hosts[attempt.host]->zone;
-    if (zone == kNone) return std::nullopt;
-    ++in_use[zone];
-  }
-  return in_use;
-}
-
-// Keeps to the zone rules of one job while its tasks are placed one by one.
-class ZoneRules {
- public:
-  ZoneRules(const Job& job, std::map<Index, std::uint32_t> in_use)
-      : in_use_(std::move(in_use)),
-        one_zone_(job.spec.one_zone),
-        most_(job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks) {}
-
-  bool allow(Index zone) const {
-    if (one_zone_ && !in_use_.empty() && !in_use_.contains(zone)) return false;
-    const auto at = in_use_.find(zone);
-    return (at == in_use_.end() ? 0 : at->second) < most_;
-  }
-  void take(Index zone) { ++in_use_[zone]; }
-
- private:
-  std::map<Index, std::uint32_t> in_use_;
-  bool one_zone_;
-  std::uint32_t most_;
-};
-
 // For a job that must stay in one zone and has not begun: the zone that holds most of it.
 Index best_zone(const Cluster& cluster, const Job& job, const std::vector<Index>& hosts) {
   std::map<Index, std::uint32_t> room;
@@ -252,7 +220,7 @@
 }  // namespace
 
 bool usable(const Cluster& cluster, const Host& host, double now) {
-  return host.phase == HostPhase::up && !host.draining && host.type != kNone &&
+  return host.phase == HostPhase::up && !host.draining && !host.going && host.type != kNone &&
          host.faults < kTooManyFaults && now - host.heard_at < cluster.platform.workers.lease_s;
 }
 
@@ -280,7 +248,7 @@
   return host.lent;
 }
 
-int plan(Cluster& cluster, double now) {
+int plan(Cluster& cluster, double now, const Gate& gate) {
   cluster.keep_for_large(now);
   heed_notices(cluster, now);
   Openings open(cluster, now);
@@ -304,7 +272,7 @@
       spdlog::info("job {}: all tasks placed after {:.1f} s", job.spec.id, now - job.freed_at);
     }
   }
-  preempt(cluster, service, now);
+  preempt(cluster, service, gate, now);
   return placed;
 }
 
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -1,7 +1,7 @@
 // First fit: which pending tasks go where. A pure function of the cluster and the time.
 #pragma once
 
-#include "placement/cluster.h"
+#include "placement/preempt.h"
 
 namespace reachramp::placement {
 
@@ -22,6 +22,6 @@
 
 // Places what fits, marks machines to be drained, stops what must leave them. Returns how many
 // attempts were placed.
-int plan(Cluster& cluster, double now);
+int plan(Cluster& cluster, double now, const Gate& gate = {});
 
 }  // namespace reachramp::placement
--- a/src/placement/preempt.cpp
+++ b/src/placement/preempt.cpp
@@ -169,7 +169,7 @@
 
 }  // namespace
 
-void preempt(Cluster& cluster, const Service& service, double now) {
+void preempt(Cluster& cluster, const Service& service, const Gate& gate, double now) {
   std::vector<Index> claimants;
   for (const Index index : service.order) {
     if (may_claim(cluster, *cluster.jobs[index], now)) claimants.push_back(index);
@@ -197,14 +197,14 @@
       if (copies < job.spec.tasks) {
         victims = victims_in(cluster, able, job, claims_guarantee, zone, job.spec.tasks - copies,
                              yielded, now);
-        if (victims.empty()) continue;
+        if (victims.empty() || (gate && !gate(victims))) continue;
       }
       for (const Index victim : victims) {
         Job& loser = *cluster.jobs[victim];
         spdlog::info("job {} makes room for {}", loser.spec.id, job.spec.id);
         rooms.add(loser);
         for (const auto& [task, attempt] : loser.attempts) {
-          cluster.stop(victim, task, loser.spec.save_s + 1);
+          cluster.stop(victim, task, loser.spec.save_s + 1, true);
         }
       }
       promised[zone] += job.spec.tasks;
--- a/src/settings/policy.cpp
+++ b/src/settings/policy.cpp
@@ -1,9 +1,4 @@
-#include <sexp.h>
-
-#include <charconv>
-#include <cmath>
 #include <fstream>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -11,6 +6,7 @@
 
 #include "levels/table.h"
 #include "settings/settings.h"
+#include "settings/tree.h"
 
 namespace reachramp::settings {
 
@@ -33,85 +29,53 @@
   return all;
 }
 
-using Refuse = std::function<void(const std::string& field, const std::string& why)>;
-
-struct Freed {
-  void operator()(sexp_t* tree) const { destroy_sexp(tree); }
-};
-
-// The one number of (name number).
-double number_in(const sexp_t* name, const Refuse& refuse) {
-  const sexp_t* value = name->next;
-  if (value == nullptr || value->ty != SEXP_VALUE || value->next != nullptr) {
-    refuse(name->val, "expected one number");
-  }
-  const std::string digits = value->val;
-  double number = 0;
-  const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
-  if (error != std::errc() || stop != digits.data() + digits.size()) {
-    refuse(name->val, "not a number: " + digits);
-  }
-  return number;
-}
-
 // (levels (hold-at N))
-void read_levels(const sexp_t* section, Policy& policy, const Refuse& refuse) {
-  for (const sexp_t* entry = section->next; entry != nullptr; entry = entry->next) {
-    const sexp_t* name = entry->ty == SEXP_LIST ? entry->list : nullptr;
-    if (name == nullptr || name->ty != SEXP_VALUE) refuse("levels", "expected (name value)");
-    if (std::string(name->val) != "hold-at") continue;  // a newer version's setting
-    const double level = number_in(name, refuse);
-    if (!(level >= levels::kCompact && level <= levels::kNewest) || level != std::floor(level)) {
-      std::ostringstream why;
-      why << "must be a level from " << levels::kCompact << " to " << levels::kNewest;
-      refuse("hold-at", why.str());
-    }
+void read_levels(const Tree& section, Policy& policy, const std::string& path) {
+  for (std::size_t i = 1; i < section.items.size(); ++i) {
+    const Tree& entry = section.items[i];
+    if (entry.name().empty()) refuse(path, entry, "levels", "expected (name value)");
+    if (entry.name() != "hold-at") continue;  // a newer version's setting
+    const double level = number_in(entry, levels::kCompact, levels::kNewest, path);
     policy.hold_at = static_cast<unsigned>(level);
+    if (policy.hold_at != level) refuse(path, entry, "hold-at", "not a whole number");
   }
 }
 
 }  // namespace
 
 Policy parse_policy(const std::string& text, const std::string& path) {
-  const Refuse refuse = [&](const std::string& field, const std::string& why) {
-    throw BadSettings(path + ": " + field + ": " + why);
-  };
-  std::string copy = text;
-  const std::unique_ptr<sexp_t, Freed> tree(parse_sexp(copy.data(), copy.size()));
-  if (!tree || tree->ty != SEXP_LIST || tree->list == nullptr || tree->list->ty != SEXP_VALUE ||
-      std::string(tree->list->val) != "policy") {
-    refuse("policy", "expected (policy (name value) ...)");
-  }
+  const Tree tree = parse_tree(text, path);
+  if (tree.name() != "policy") refuse(path, tree, "policy", "expected (policy (name value) ...)");
   Policy policy;
   std::set<std::string> given;
-  for (const sexp_t* entry = tree->list->next; entry != nullptr; entry = entry->next) {
-    const sexp_t* name = entry->ty == SEXP_LIST ? entry->list : nullptr;
-    if (name == nullptr || name->ty != SEXP_VALUE) refuse("policy", "expected (name value)");
-    if (std::string(name->val) == "levels") {
-      if (!given.insert("levels").second) refuse("levels", "given twice");
-      read_levels(name, policy, refuse);
-      continue;
+  for (std::size_t i = 1; i < tree.items.size(); ++i) {
+    const Tree& entry = tree.items[i];
+    const std::string& name = entry.name();
+    if (name.empty()) refuse(path, entry, "policy", "expected (name value)");
+    const auto knob = knobs().find(name);
+    if (knob == knobs().end() && name != "levels" && name != "drains") {
+      continue;  // a newer version's setting
     }
-    const auto knob = knobs().find(name->val);
-    if (knob == knobs().end()) continue;  // a newer version's setting
-    if (!given.insert(knob->first).second) refuse(knob->first, "given twice");
-    const double number = number_in(name, refuse);
-    if (!(number >= knob->second.least && number <= knob->second.most)) {
-      std::ostringstream why;
-      why << "must lie between " << knob->second.least << " and " << knob->second.most;
-      refuse(knob->first, why.str());
+    if (!given.insert(name).second) refuse(path, entry, name, "given twice");
+    if (name == "levels") {
+      read_levels(entry, policy, path);
+    } else if (name == "drains") {
+      policy.drains = std::make_shared<const Tree>(entry);
+    } else {
+      policy.*(knob->second.field) = number_in(entry, knob->second.least, knob->second.most, path);
     }
-    policy.*(knob->second.field) = number;
   }
   return policy;
 }
 
-Policy load_policy(const std::string& path) {
+std::string read_file(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw BadSettings(path + ": cannot be read");
   std::ostringstream text;
   text << file.rdbuf();
-  return parse_policy(text.str(), path);
+  return text.str();
 }
 
+Policy load_policy(const std::string& path) { return parse_policy(read_file(path), path); }
+
 }  // namespace reachramp::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,6 +1,7 @@
 // What a node is told: the platform's file (TOML) and the operators' own policy (S-expressions).
 #pragma once
 
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -15,6 +16,8 @@
   using std::runtime_error::runtime_error;
 };
 
+struct Tree;
+
 struct Member {
   std::string name;
   std::string domain;
@@ -92,11 +95,15 @@
   double horizon_s = 60;
   // (levels (hold-at N)): the stored state stays at or below that level; 0: no wish.
   unsigned hold_at = 0;
+  // (drains ...), as it stands; none: nothing is drained. Read by the slice of that name.
+  std::shared_ptr<const Tree> drains;
 };
 
 Platform load_platform(const std::string& path);
 Platform parse_platform(const std::string& text, const std::string& path);
 Policy load_policy(const std::string& path);
+// Throws BadSettings.
+std::string read_file(const std::string& path);
 Policy parse_policy(const std::string& text, const std::string& path);
 
 }  // namespace reachramp::settings
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -184,8 +184,8 @@
   attempt->inherited = false;
   attempt->sent = true;
   attempt->seen = seen;
-  if (attempt->seen == Seen::running && attempt->running_since < 0) {
-    attempt->running_since = ran_before ? attempt->placed_at : now;
+  if (attempt->seen == Seen::running) {
+    cluster.note_running(*job, piece.task, ran_before ? attempt->placed_at : now);
   }
   if (attempt->seen == Seen::running || attempt->seen == Seen::saving) job->gang_started = true;
   if (attempt->seen != Seen::fetching) host.images.insert(job->spec.image);
@@ -293,6 +293,18 @@
   return index;
 }
 
+std::vector<Order> stops_for(const Cluster& cluster, Index host_index) {
+  std::vector<Order> orders;
+  for (const TaskRef& ref : cluster.hosts[host_index]->attempts) {
+    const Job& job = *cluster.jobs[ref.job];
+    const Attempt& attempt = job.attempts.at(ref.task);
+    if (!attempt.stopping || !(attempt.inherited || attempt.sent)) continue;
+    if (orders.size() >= kMostOrders) break;
+    orders.push_back({Verb::stop, job.spec.id, ref.task, attempt.number, attempt.wind_down_s});
+  }
+  return orders;
+}
+
 std::vector<Order> orders_for(Cluster& cluster, Index host_index, bool may_start, double now) {
   Host& host = *cluster.hosts[host_index];
   std::vector<Order> orders;
--- a/src/workers/report.h
+++ b/src/workers/report.h
@@ -63,4 +63,7 @@
 // the leader has lately confirmed that no job was cancelled behind its back.
 std::vector<Order> orders_for(Cluster& cluster, Index host, bool may_start, double now);
 
+// The stops alone, for tasks that were started there: may be sent at once, again, and late.
+std::vector<Order> stops_for(const Cluster& cluster, Index host);
+
 }  // namespace reachramp::workers
