Drains: no further step where the cloud had nothing for the last one

Cause: a step whose machines the cloud does not replace was followed by the next, and a cloud that refuses for ten minutes would have seen the fleet taken apart.

Change: a step that ended without a new machine while its pool was refused holds the next one of that type and kind back until one is rented there, or for again-s.

--- a/src/drains/drains.cpp
+++ b/src/drains/drains.cpp
@@ -174,6 +174,7 @@
   line.old.clear();
   line.fresh.clear();
   line.failed = 0;
+  line.refused = false;
   for (const Host* host : hosts) line.old.insert(host->name);
   line.phase = rules_.steps.surge ? Phase::renting : Phase::emptying;
   line.began = line.since = now;
@@ -181,12 +182,26 @@
                cluster.zones[line.zone]);
 }
 
+// The cloud had nothing for what the last step gave back: the next one waits until it has, or the
+// fleet would be taken apart step by step.
+bool Drains::starves(const Cluster& cluster, const LineKey& key, Line& line, double now) const {
+  if (line.starved_at < 0) return false;
+  const Pool pool{key.first, line.zone, key.second};
+  const bool came = std::any_of(cluster.hosts.begin(), cluster.hosts.end(), [&](const auto& host) {
+    return host && host->rented_at >= line.began &&
+           Pool{host->type, host->zone, host->spot} == pool;
+  });
+  if (came || now - line.starved_at >= rules_.steps.again_s) line.starved_at = -1;
+  return line.starved_at >= 0;
+}
+
 void Drains::watch_step(Cluster& cluster, const LineKey& key, Line& line,
                         const Conditions& conditions, double now) {
   const Pool pool{key.first, line.zone, key.second};
   const auto* type = cluster.kind(key.first);
   const double boot_s = type == nullptr ? 60 : type->boot_s;
   bool boots = false;
+  line.refused = line.refused || conditions.refused(pool);
   for (const auto& host : cluster.hosts) {
     if (!host || host->rented_at < line.began || Pool{host->type, host->zone, host->spot} != pool) {
       continue;
@@ -249,6 +264,13 @@
     return;
   }
   line.halts = 0;
+  if (line.refused && line.fresh.empty()) {
+    line.starved_at = now;
+    line.size = rules_.steps.first;
+    spdlog::info("drains: the cloud has no {} machines in {}: no step before it has",
+                 name_of(cluster, key), cluster.zones[line.zone]);
+    return;
+  }
   spdlog::info("drains: a step of {} in {} is over after {:.0f} s", name_of(cluster, key),
                cluster.zones[line.zone], now - line.began);
   line.size = std::min(line.size * 2, 100000u);
@@ -279,7 +301,7 @@
       }
       continue;
     }
-    begin_step(cluster, key, line, now);
+    if (!starves(cluster, key, line, now)) begin_step(cluster, key, line, now);
   }
 }
 
--- a/src/drains/drains.h
+++ b/src/drains/drains.h
@@ -71,6 +71,8 @@
     double since = 0;             // of the phase
     double began = 0;             // of the step
     std::uint32_t size = 0;
+    bool refused = false;    // the cloud had none in its pool while it went on
+    double starved_at = -1;  // when a step ended of which nothing came back; -1: not so
     int halts = 0;
     double halted_until = 0;
     double told_at = -1e9;
@@ -80,6 +82,7 @@
   const Entry* entry_of(const Cluster& cluster, const Host& host, double now) const;
   void mark(Cluster& cluster, double now);
   void step(Cluster& cluster, const Conditions& conditions, double now);
+  bool starves(const Cluster& cluster, const LineKey& key, Line& line, double now) const;
   void begin_step(Cluster& cluster, const LineKey& key, Line& line, double now);
   void watch_step(Cluster& cluster, const LineKey& key, Line& line, const Conditions& conditions,
                   double now);
--- a/src/drains/drains_test.cpp
+++ b/src/drains/drains_test.cpp
@@ -385,6 +385,22 @@
   EXPECT_GT(sick.rented(), 40);
 }
 
+// The cloud has nothing for ten minutes, from the middle of a step on.
+TEST(DrainsInSteps, DoNotTakeTheFleetApartWhileTheCloudHasNothing) {
+  World world(8, 40, 0);
+  world.rule("(drains (serial 2) (steps (first 1) (most 0.25) (settle-s 5)) (replace (before 2)))");
+  world.run(30);
+  world.refused = true;
+  const std::size_t before = world.names().size();
+  world.run(595);
+  EXPECT_GE(world.names().size() + 8, before) << "what had begun in each of four lines";
+  world.refused = false;
+  const std::size_t left = world.names().size();
+  world.run(3000);
+  EXPECT_LT(left, before);
+  EXPECT_TRUE(world.broken.empty());
+}
+
 TEST(DrainsInSteps, WaitWhileControllersAreChanged) {
   World world(4, 20, 0);
   world.rolling = true;
