Zones: a lost one is seen, worked round, and given back in order

Cause: a lost zone was many silent machines; staggered reports hid that a third was silent together, and all went back within seconds, or, behind a change of leaders, counted as never having come up. Meanwhile new ones were rented there and tasks placed on machines that nobody heard.

Change: slice `zones` compares each zone's overdue reports with the others': doubtful, lost, coming back, with hysteresis. Nothing is placed or rented in one that is not well; what was not sent goes elsewhere; machines of a lost one count as gone where Tributary rents and go back in the order of service, as others have room, at most a twentieth of their number a second.

--- a/src/acquire/demand.cpp
+++ b/src/acquire/demand.cpp
@@ -32,7 +32,7 @@
 
 bool counts(const Cluster& cluster, const Host& host, double now) {
   const auto* type = cluster.type_of(host);
-  if (type == nullptr || host.draining || host.going || host.outgoing ||
+  if (type == nullptr || host.draining || host.going || host.outgoing || host.lost ||
       host.phase == HostPhase::leaving || host.faults >= placement::kTooManyFaults) {
     return false;
   }
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -18,6 +18,7 @@
 #include "settings/settings.h"
 #include "shares/accounts.h"
 #include "workers/report.h"
+#include "zones/zones.h"
 
 namespace reachramp::controller {
 
@@ -111,6 +112,7 @@
   void tell_shares(double now);
   void drain(double now);
   void end_drains();
+  void close_pools();
   void watch_levels(double now);
   void write_level(const levels::Stored& to,
                    std::vector<std::pair<std::string, std::uint64_t>> given);
@@ -126,6 +128,7 @@
   acquire::Buyer buyer_;
   Ledger ledger_;
   state::Bucket writes_;
+  zones::Zones zones_;
   drains::Drains drains_;
   std::string bad_drains_;          // why the record is not in force, as last logged
   std::uint64_t drains_stamp_ = 0;  // of the record in force
--- a/src/controller/leader_drains.cpp
+++ b/src/controller/leader_drains.cpp
@@ -18,7 +18,7 @@
 void Leader::end_drains() {
   if (!drains_.in_force()) return;
   drains_.end_all(cluster_);
-  buyer_.close({});
+  close_pools();
   drains_stamp_ = 0;
   replan_ = rebuy_ = true;
 }
@@ -77,7 +77,6 @@
     out_.stop_now.emplace_back(host.address, std::move(body));
   }
   if (!wishes.back.empty() || !wishes.stop_now.empty()) replan_ = rebuy_ = true;
-  buyer_.close(drains_.closed(cluster_));
   if (!drains_.has_changed() || now - drains_stored_at_ < kStoreEvery_s) return;
   drains_stored_at_ = now;
   drains_.note_written();
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -169,12 +169,25 @@
       running - unheard, running, passed, within(half_heard_s_), within(most_heard_s_));
 }
 
+// By operators' wish, or because the zone is not well.
+void Leader::close_pools() {
+  std::set<Pool> pools = zones_.closed(cluster_);
+  pools.merge(drains_.closed(cluster_));
+  buyer_.close(std::move(pools));
+}
+
 void Leader::upkeep(double now) {
   tell_heard(now);
   const double silent = platform_.workers.lease_s * 1.1;
   const auto is_silent = [&](const Host& host) {
     return host.phase == HostPhase::up && now - std::max(host.heard_at, since_) > silent;
   };
+  zones_.pass(cluster_, since_, now);
+  close_pools();
+  for (const Index i : zones_.to_return(cluster_, since_, now)) {
+    give_back(i, "its zone is lost");
+    rebuy_ = replan_ = true;
+  }
   int up = 0, quiet = 0;
   for (const auto& host : cluster_.hosts) {
     if (!host || host->phase != HostPhase::up) continue;
@@ -183,19 +196,29 @@
   }
   // Silence of one machine is its own. When many fall silent together a cut is likelier, and they
   // work on behind it: one recorded day lost half the fleet to a leader that sent them all back.
-  const bool cut = quiet > 1 && quiet * 3 > up;
+  const bool many = quiet > 1 && quiet * 3 > up;
   for (Index i = 0; i < cluster_.hosts.size(); ++i) {
     Host* host = cluster_.hosts[i].get();
     if (host == nullptr || host->phase == HostPhase::leaving) continue;
     const auto* type = cluster_.type_of(*host);
+    // What is silent with its whole zone is the zone's matter, and has its time anew when that is
+    // heard again. Told machine by machine a zone was sent back within seconds: reports are
+    // staggered, so that never a third was silent together.
+    const zones::State zone =
+        host->zone == placement::kNone ? zones::State::well : zones_.state(host->zone);
+    if (zone == zones::State::doubtful || zone == zones::State::lost) continue;
+    const double from = host->zone == placement::kNone
+                            ? since_
+                            : std::max(since_, zones_.heard_again_at(host->zone));
     if (host->phase == HostPhase::booting) {
       const double patience = kNeverBoots * (type == nullptr ? 60 : type->boot_s);
-      if (now - std::max(host->rented_at, since_ - patience / 2) > patience) {
+      if (now - std::max(host->rented_at, from - patience / 2) > patience) {
         give_back(i, "it does not come up");
       }
       continue;
     }
-    if (is_silent(*host) && (!cut || now - std::max(host->heard_at, since_) > kCutLasts * silent)) {
+    const double quiet_for = now - std::max(host->heard_at, from);
+    if (quiet_for > silent && (!many || quiet_for > kCutLasts * silent)) {
       give_back(i, "it is silent");
     } else if (host->draining && host->reclaim_at == placement::kNever && host->attempts.empty()) {
       give_back(i, "it does not work");
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -215,6 +215,32 @@
   EXPECT_EQ(back, 3) << "but not for ever";
 }
 
+// Own day: a zone was cut, its machines passed their time one by one as their reports were
+// staggered, and all 245 went back within seconds, since never a third was silent together.
+TEST_F(LeaderTest, AZoneIsNotSentBackMachineByMachine) {
+  Leader leader = lead(snapshot({job_entry("j-1", 80)}));
+  const auto hear_zone = [&](int machine, const char* zone, double now) {
+    workers::Report heard = report(machine, static_cast<std::uint64_t>(now * 10));
+    heard.zone = std::string(zone);
+    leader.on_report(
+        heard, [](const wire::Json&) {}, now);
+  };
+  int back = 0;
+  for (double now = 1; now < 26; now += 0.5) {
+    leader.on_jobs_current(now);
+    for (int i = 0; i < 8; ++i) hear_zone(i, "a", now);
+    // The other zone is cut at 10 s; its machines were last heard at different times.
+    for (int i = 8; i < 16; ++i) {
+      if (now < 10 + 0.25 * (i - 8)) hear_zone(i, "b", now);
+    }
+    back += returned(leader.advance(now + 0.2));
+    if (now < 21) {
+      EXPECT_EQ(back, 0) << now;
+    }
+  }
+  EXPECT_LE(back, 5) << "one a second";
+}
+
 // A transaction that was answered only at the second try once blocked all that came after it.
 TEST_F(LeaderTest, CommitsGoOnAfterOneThatWasUnanswered) {
   Leader leader = lead(snapshot({job_entry("j-1", 1, true)}));
--- a/src/drains/drains.cpp
+++ b/src/drains/drains.cpp
@@ -461,16 +461,23 @@
     for (const auto& host : cluster.hosts) {
       if (host && host->phase != HostPhase::leaving) emptying += host->going ? 1 : 0;
     }
-    std::string waits;
+    std::string more;
+    for (Index team = 0; team < tolls_.size(); ++team) {
+      const Toll& toll = tolls_[team];
+      if (toll.voluntary + toll.forced < 1) continue;
+      more +=
+          fmt::format("; {}: {:.0f} cores down by choice, {:.0f} otherwise, {:.0f} running",
+                      cluster.platform.teams[team].name, toll.voluntary, toll.forced, toll.running);
+    }
     for (const auto& [team, reasons] : waits_) {
       for (const auto& [why, count] : reasons) {
-        waits += fmt::format("; {} waits: {} ({})", team, why, count);
+        more += fmt::format("; {} waits: {} ({})", team, why, count);
       }
     }
     spdlog::info(
         "drains: {} to go, {} emptying, {} gone in steps, {} jobs on their way, replacing what is "
         "left costs {:.2f} more{}",
-        to_go, emptying, gone_, moves_.size(), price_left(cluster, conditions, now), waits);
+        to_go, emptying, gone_, moves_.size(), price_left(cluster, conditions, now), more);
   }
   if (now - told_teams_at_ < kTellTeamsEvery_s) return;
   told_teams_at_ = now;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -162,6 +162,10 @@
   // For the slice `drains`: takes nothing new and is being emptied; is to be replaced, and counts
   // as gone where machines are rented; has room kept for so many tasks that move.
   bool going = false;
+  // For the slice `zones`: silent in a zone that is doubtful or lost, takes nothing new; in a lost
+  // one it counts as gone where machines are rented.
+  bool cut = false;
+  bool lost = false;
   bool outgoing = false;
   std::uint32_t reserved = 0;
   // Kept for large tasks, of which none needs it now: instead of going back it serves small ones.
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -220,8 +220,9 @@
 }  // namespace
 
 bool usable(const Cluster& cluster, const Host& host, double now) {
-  return host.phase == HostPhase::up && !host.draining && !host.going && host.type != kNone &&
-         host.faults < kTooManyFaults && now - host.heard_at < cluster.platform.workers.lease_s;
+  return host.phase == HostPhase::up && !host.draining && !host.going && !host.cut &&
+         host.type != kNone && host.faults < kTooManyFaults &&
+         now - host.heard_at < cluster.platform.workers.lease_s;
 }
 
 bool allows(const Cluster& cluster, const Job& job, Index type, bool spot) {
--- /dev/null
+++ b/src/zones/zones.cpp
@@ -0,0 +1,268 @@
+#include "zones/zones.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "placement/order.h"
+#include "placement/plan.h"
+
+namespace reachramp::zones {
+
+namespace {
+
+using placement::Host;
+using placement::HostPhase;
+using placement::kNone;
+
+// Reports lie up to a quarter more than their period apart, and a worker whose node is dead waits 4
+// s for it and a second before the next: no zone is doubted for its one node.
+constexpr double kPeriodsApart = 2;
+constexpr double kAnswers_s = 6;
+// Machines that die or hang by themselves do so in every zone alike.
+constexpr double kDoubt = 0.6;
+constexpr double kHeardAgain = 0.4;
+constexpr double kElsewhere = 0.3;  // more than that is silent everywhere: it is not the zone
+constexpr std::size_t kFewest = 4;
+// What is silent for longer than its lease has killed its tasks, but for what a leader inside kept.
+constexpr double kDead = 1.1;  // leases
+// Times that. Where there is no room for its work it is the first room there will be when the zone
+// is back; not for ever.
+constexpr double kLongGone = 12;
+constexpr double kSettle_s = 10;  // of one that is heard again; doubled with each flap
+constexpr int kMostFlaps = 4;
+constexpr double kFlapsForgotten_s = 300;
+constexpr double kNobodyThere_s = 60;        // then it is tried by renting
+constexpr double kReturnedPerSecond = 0.05;  // of the machines of other zones
+constexpr double kLeastCharge_s = 60;  // renting anew costs as much as keeping an idle one so long
+constexpr double kBoots = 3;
+
+bool should_be_heard(const Cluster& cluster, const Host& host, double now) {
+  if (host.phase != HostPhase::booting) return host.phase == HostPhase::up;
+  // One that an earlier leader knew, or whose worker never found us: the cloud says that it runs.
+  const auto* type = cluster.type_of(host);
+  return host.runs && type != nullptr && now - host.rented_at > kBoots * type->boot_s;
+}
+
+double silence(const Host& host, double since, double now) {
+  return now - std::max(host.heard_at, since);
+}
+
+double overdue_after(const Cluster& cluster) {
+  return kPeriodsApart * cluster.platform.workers.report_s + kAnswers_s;
+}
+
+}  // namespace
+
+const char* name_of(State state) {
+  switch (state) {
+    case State::well:
+      return "well";
+    case State::doubtful:
+      return "doubtful";
+    case State::lost:
+      return "lost";
+    case State::returning:
+      return "coming back";
+  }
+  return "";
+}
+
+std::vector<Sight> Zones::look(const Cluster& cluster, double since, double now) {
+  std::vector<Sight> sights(cluster.zones.size());
+  const double late = overdue_after(cluster);
+  for (const auto& host : cluster.hosts) {
+    if (!host || host->zone == kNone || !should_be_heard(cluster, *host, now)) continue;
+    ++sights[host->zone].machines;
+    sights[host->zone].overdue += silence(*host, since, now) > late ? 1 : 0;
+  }
+  return sights;
+}
+
+State Zones::state(Index zone) const {
+  const auto at = zones_.find(zone);
+  return at == zones_.end() ? State::well : at->second.state;
+}
+
+double Zones::heard_again_at(Index zone) const {
+  const auto at = zones_.find(zone);
+  return at == zones_.end() ? -1e9 : at->second.heard_again_at;
+}
+
+void Zones::enter(const Cluster& cluster, Index index, State state, const std::string& why,
+                  double now) {
+  Zone& zone = zones_[index];
+  zone.state = state;
+  zone.since = now;
+  spdlog::info("zone {}: {}: {}", cluster.zones[index], zones::name_of(state), why);
+}
+
+void Zones::judge(const Cluster& cluster, Index index, const Sight& sight, const Sight& others,
+                  double now) {
+  Zone& zone = zones_[index];
+  const auto share = [](const Sight& one) {
+    return one.machines == 0 ? 0
+                             : static_cast<double>(one.overdue) / static_cast<double>(one.machines);
+  };
+  const std::string counts =
+      fmt::format("{} of {} machines are overdue, elsewhere {} of {}", sight.overdue,
+                  sight.machines, others.overdue, others.machines);
+  const bool silent = sight.machines >= kFewest && share(sight) >= kDoubt &&
+                      others.machines >= kFewest && share(others) < kElsewhere;
+  const double lease = cluster.platform.workers.lease_s;
+  switch (zone.state) {
+    case State::well:
+      if (now - zone.since > kFlapsForgotten_s) zone.flaps = 0;
+      if (!silent) return;
+      zone.lost_since = now;
+      enter(cluster, index, State::doubtful, counts, now);
+      return;
+    case State::doubtful:
+    case State::lost: {
+      const bool heard = sight.machines >= kFewest && share(sight) < kHeardAgain;
+      const bool nobody = sight.machines < kFewest && now - zone.since > kNobodyThere_s;
+      if (heard || nobody) {
+        zone.heard_again_at = now;
+        zone.flaps = std::min(zone.flaps + 1, kMostFlaps);
+        enter(cluster, index, State::returning,
+              heard ? fmt::format("after {:.0f} s", now - zone.lost_since)
+                    : "none of its machines is left: tried anew",
+              now);
+      } else if (zone.state == State::doubtful && now - zone.since > lease / 2 && silent) {
+        enter(cluster, index, State::lost, counts, now);
+      }
+      return;
+    }
+    case State::returning:
+      if (silent) {
+        enter(cluster, index, State::doubtful, counts, now);
+      } else if (now - zone.since > kSettle_s * (1 << (zone.flaps - 1))) {
+        enter(cluster, index, State::well, counts, now);
+      }
+  }
+}
+
+void Zones::pass(Cluster& cluster, double since, double now) {
+  const std::vector<Sight> sights = look(cluster, since, now);
+  Sight all;
+  for (const Sight& sight : sights) {
+    all.machines += sight.machines;
+    all.overdue += sight.overdue;
+  }
+  for (Index zone = 0; zone < sights.size(); ++zone) {
+    const Sight& sight = sights[zone];
+    judge(cluster, zone, sight, {all.machines - sight.machines, all.overdue - sight.overdue}, now);
+  }
+  const double late = overdue_after(cluster);
+  std::vector<placement::TaskRef> unsent;
+  for (const auto& host : cluster.hosts) {
+    if (!host || host->zone == kNone) continue;
+    const State state = this->state(host->zone);
+    const bool cut =
+        (state == State::doubtful || state == State::lost) && silence(*host, since, now) > late;
+    host->lost = cut && state == State::lost;
+    if (!std::exchange(host->cut, cut) && cut) {
+      unsent.insert(unsent.end(), host->attempts.begin(), host->attempts.end());
+    }
+  }
+  // What was placed there and never sent needs no proof to go elsewhere.
+  for (const placement::TaskRef& ref : unsent) {
+    const auto& attempts = cluster.jobs[ref.job]->attempts;
+    const auto at = attempts.find(ref.task);
+    if (at == attempts.end() || at->second.sent || at->second.inherited) continue;
+    cluster.stop(ref.job, ref.task, 0);
+    cluster.release_unsent(ref.job, now);
+  }
+}
+
+std::set<Pool> Zones::closed(const Cluster& cluster) const {
+  std::set<Pool> pools;
+  for (const auto& [index, zone] : zones_) {
+    if (zone.state == State::well) continue;
+    for (Index type = 0; type < cluster.types.size(); ++type) {
+      for (const bool spot : {false, true}) pools.insert({type, index, spot});
+    }
+  }
+  return pools;
+}
+
+std::vector<Index> Zones::to_return(const Cluster& cluster, double since, double now) {
+  const double passed = passed_at_ < 0 ? 0 : now - passed_at_;
+  passed_at_ = now;
+  const double dead = kDead * cluster.platform.workers.lease_s;
+  std::vector<Index> lost;
+  double usable_machines = 0, free = 0;
+  for (Index i = 0; i < cluster.hosts.size(); ++i) {
+    const auto& host = cluster.hosts[i];
+    if (!host || host->phase == HostPhase::leaving) continue;
+    if (host->lost) lost.push_back(i);
+    if (usable(cluster, *host, now)) {
+      ++usable_machines;
+      free += host->free.cpus;
+    }
+  }
+  if (lost.empty()) {
+    allowance_ = 0;
+    return {};
+  }
+  const double most = std::max(1.0, kReturnedPerSecond * usable_machines);
+  allowance_ = std::min(allowance_ + passed * most, most);
+
+  const placement::Service service = placement::service_order(cluster, now);
+  std::vector<std::size_t> rank(cluster.jobs.size(), service.order.size());
+  std::size_t first_waiting = service.order.size();
+  double waiting = 0;  // cores, of all that is not placed
+  for (std::size_t i = 0; i < service.order.size(); ++i) {
+    const placement::Job& job = *cluster.jobs[service.order[i]];
+    rank[service.order[i]] = i;
+    const double left = static_cast<double>(job.spec.tasks - job.done_count) -
+                        static_cast<double>(job.attempts.size());
+    if (left <= 0 || !cluster.within_limit(job, 1)) continue;
+    first_waiting = std::min(first_waiting, i);
+    waiting += left * job.need.cpus;
+  }
+  struct Candidate {
+    std::size_t rank = 0;
+    double cores = 0;
+    Index host = kNone;
+  };
+  std::vector<Candidate> candidates;
+  for (const Index i : lost) {
+    Candidate one{service.order.size(), 0, i};
+    for (const placement::TaskRef& ref : cluster.hosts[i]->attempts) {
+      one.rank = std::min(one.rank, rank[ref.job]);
+      one.cores += cluster.jobs[ref.job]->need.cpus;
+    }
+    candidates.push_back(one);
+  }
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+    return std::pair(a.rank, a.host) < std::pair(b.rank, b.host);
+  });
+  double room = free - waiting;
+  std::vector<Index> found;
+  for (const Candidate& one : candidates) {
+    if (allowance_ < 1) break;
+    const Host& host = *cluster.hosts[one.host];
+    const double silent = silence(host, since, now);
+    const bool idle = host.attempts.empty();
+    if (silent <= dead) {  // its turn is to come; the room is not for those behind it
+      room -= one.cores;
+      continue;
+    }
+    // An idle one is kept as long as renting it anew would cost. Work goes where there is room for
+    // it, or where it would be served before all that waits; a gang needs all of its machines back.
+    const bool urgent = one.rank < first_waiting && first_waiting < service.order.size();
+    const bool mate = one.rank == first_waiting && one.rank < service.order.size() &&
+                      cluster.jobs[service.order[one.rank]]->spec.shape == jobs::Shape::gang;
+    const bool goes = silent > kLongGone * dead ||
+                      (idle ? silent > kLeastCharge_s : urgent || mate || one.cores <= room);
+    if (!goes) continue;
+    room -= one.cores;
+    --allowance_;
+    found.push_back(one.host);
+  }
+  return found;
+}
+
+}  // namespace reachramp::zones
