A step back over level 6 removes the record of drains

Change: the prefixes stand beside the slices' own word for what is stale, and the simulated cluster reads by them; the record is removed as it was read, under its stamp.

--- a/src/controller/leader_levels.cpp
+++ b/src/controller/leader_levels.cpp
@@ -78,6 +78,8 @@
 
 // A record of tasks goes once newer ones hold all that it says; others go at once.
 void Leader::renew_record(const std::string& key, std::uint64_t stamp, double now) {
+  // Written by nodes alone, and by none below its level: it stands as it was read.
+  if (key == drains::kRulesKey) ledger_.know(key, stamp);
   // The read may be older than what we have stored since.
   const auto chunk = jobs::parse_chunk_key(key);
   const bool current =
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -172,6 +172,28 @@
   EXPECT_EQ(back, std::vector<std::string>{"n-1"});
 }
 
+// Found by reading: a node's record was not the leader's to remove, so a step back over level 6
+// never ended.
+TEST_F(LeaderTest, AStepBackRemovesTheRecordOfDrains) {
+  Snapshot taken = snapshot({});
+  taken.level = state::Entry{
+      levels::kLevelKey, levels::encode_stored({levels::kDrains, levels::kDrains - 1, false}), 4};
+  Leader leader = lead(taken);
+  const state::Json record = drains::encode_accepted({3, "(drains (serial 3))", {}});
+  leader.on_jobs_current(1);
+  leader.advance(1);
+  leader.on_stale({{drains::kRulesKey, record, 60}}, 1);
+  const Outbox out = leader.advance(1.5);
+  ASSERT_TRUE(out.commit);
+  const state::Transaction& sent = out.commit->transaction;
+  EXPECT_TRUE(std::any_of(sent.writes.begin(), sent.writes.end(), [](const auto& write) {
+    return write.key == drains::kRulesKey && !write.value;
+  }));
+  EXPECT_TRUE(std::any_of(sent.conditions.begin(), sent.conditions.end(), [](const auto& one) {
+    return one == std::pair<std::string, std::uint64_t>{drains::kRulesKey, 60};
+  }));
+}
+
 TEST_F(LeaderTest, AccountsThatCannotBeReadAreLeftAlone) {
   const auto written = [&](const state::Json& stored) {
     Snapshot taken = snapshot({job_entry("j-1", 1)});
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -403,7 +403,7 @@
 // Everything that a level may find stale, page by page. The owner tells which of it is.
 void Node::look_for_stale(std::uint64_t baton) {
   std::vector<state::Entry> found;
-  for (const char* prefix : {"task/", "pool/", state::kTimelineKey, shares::kSharesKey}) {
+  for (const std::string& prefix : stale_prefixes()) {
     auto entries = read_all(prefix, nullptr);
     if (!entries) return;
     for (state::Entry& entry : *entries) {
--- a/src/controller/stale.cpp
+++ b/src/controller/stale.cpp
@@ -22,6 +22,10 @@
 
 }  // namespace
 
+std::vector<std::string> stale_prefixes() {
+  return {"task/", "pool/", state::kTimelineKey, shares::kSharesKey, drains::kRulesKey};
+}
+
 bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level) {
   return std::any_of(kSlices.begin(), kSlices.end(),
                      [&](const auto& slice) { return slice(key, value, level); });
--- a/src/controller/stale.h
+++ b/src/controller/stale.h
@@ -3,11 +3,15 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "wire/message.h"
 
 namespace reachramp::controller {
 
+// All keys of records that some level finds stale begin with one of these.
+std::vector<std::string> stale_prefixes();
+
 // A step to the level is not over while such a record stands.
 bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
 // At any level that this version knows.
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -471,8 +471,12 @@
     if (outbox.read_stale) {
       std::vector<state::Entry> stale;
       for (const auto& [key, item] : store_.items()) {
-        if (controller::is_stale_at_any(key, item.value))
+        const auto prefixes = controller::stale_prefixes();
+        const bool read = std::any_of(prefixes.begin(), prefixes.end(),
+                                      [&](const auto& prefix) { return key.starts_with(prefix); });
+        if (read && controller::is_stale_at_any(key, item.value)) {
           stale.push_back({key, item.value, item.stamp});
+        }
       }
       later(delay(), [this, baton, stale] {
         if (leader_ && leader_->cluster().baton == baton) leader_->on_stale(stale, now_);
