Zones: the next leader knows of a lost one; chance is told from a cut

Cause: a leader that takes over while a zone is lost rented there again and waited for the silence anew; generated fields showed a zone of eight lost for five machines that hung by chance, and zones doubted for a moment when all were heard again after an outage.

Change: the record `zones`, at level 6, written when a state changes and read at a take-over. A zone is doubted only if it stays apart from the others for most of a report's period and the binomial tail under the others' share (Boost.Math) is below 1e-5.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -133,6 +133,15 @@
     out_.cloud.push_back({CloudOrder::Kind::hire, hire, {}});
   }
   if (levels::has(level_, levels::kDrains)) on_drains(snapshot.drains, now);
+  if (snapshot.zones) {
+    ledger_.know(zones::kZonesKey, snapshot.zones->stamp);
+    try {
+      zones_.inherit(snapshot.zones->value, cluster_, timeline_.time_of(snapshot.zones->stamp, now),
+                     now);
+    } catch (const std::exception& error) {
+      spdlog::error("record {}: {}: all zones are taken for well", zones::kZonesKey, error.what());
+    }
+  }
   const auto stale = [&](const state::Entry& entry) {
     return is_stale(entry.key, entry.value, level_.writes);
   };
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -50,6 +50,7 @@
   std::optional<state::Entry> shares;
   std::optional<state::Entry> drains;
   std::optional<state::Entry> drains_used;
+  std::optional<state::Entry> zones;
   bool all_upgraded = false;  // no node runs a version that knows whole records only
   state::Timeline timeline;   // what this node knows of when stamps were given
   std::optional<state::Entry> told_timeline;  // what earlier leaders wrote of it
@@ -129,6 +130,7 @@
   Ledger ledger_;
   state::Bucket writes_;
   zones::Zones zones_;
+  double zones_stored_at_ = -1e9;
   drains::Drains drains_;
   std::string bad_drains_;          // why the record is not in force, as last logged
   std::uint64_t drains_stamp_ = 0;  // of the record in force
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -19,6 +19,7 @@
 
 constexpr double kNeverBoots = 4;  // boot times
 constexpr double kTombstoneFor = 300;
+constexpr double kStoreZones_s = 1;
 constexpr double kCutLasts = 4;  // times the silence that is held against a single machine
 
 }  // namespace
@@ -183,6 +184,13 @@
     return host.phase == HostPhase::up && now - std::max(host.heard_at, since_) > silent;
   };
   zones_.pass(cluster_, since_, now);
+  if (zones_.has_changed() && levels::has(level_, levels::kDrains) &&
+      now - zones_stored_at_ >= kStoreZones_s) {
+    zones_stored_at_ = now;
+    zones_.note_written();
+    const state::Json value = zones_.encode(cluster_);
+    if (state::fits(value, platform_.lasting().value_kb)) ledger_.write({zones::kZonesKey, value});
+  }
   close_pools();
   for (const Index i : zones_.to_return(cluster_, since_, now)) {
     give_back(i, "its zone is lost");
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -302,7 +302,8 @@
   if (shares.outcome != Outcome::ok && shares.outcome != Outcome::absent) return std::nullopt;
   if (shares.outcome == Outcome::ok) snapshot.shares = shares.entry;
   for (const auto& [key, into] : {std::pair{drains::kRulesKey, &snapshot.drains},
-                                  std::pair{drains::kUsedKey, &snapshot.drains_used}}) {
+                                  std::pair{drains::kUsedKey, &snapshot.drains_used},
+                                  std::pair{zones::kZonesKey, &snapshot.zones}}) {
     const state::Found record = state_.get(key);
     if (record.outcome != Outcome::ok && record.outcome != Outcome::absent) return std::nullopt;
     if (record.outcome == Outcome::ok) *into = record.entry;
--- a/src/controller/stale.cpp
+++ b/src/controller/stale.cpp
@@ -7,6 +7,7 @@
 #include "levels/table.h"
 #include "shares/accounts.h"
 #include "state/timeline.h"
+#include "zones/zones.h"
 
 namespace reachramp::controller {
 
@@ -17,13 +18,14 @@
          !(value.is_object() && value.value("open", false));
 }
 
-constexpr auto kSlices = {state::is_stale, jobs::is_stale, shares::is_stale, drains::is_stale,
-                          pool_is_stale};
+constexpr auto kSlices = {state::is_stale,  jobs::is_stale,  shares::is_stale,
+                          drains::is_stale, zones::is_stale, pool_is_stale};
 
 }  // namespace
 
 std::vector<std::string> stale_prefixes() {
-  return {"task/", "pool/", state::kTimelineKey, shares::kSharesKey, drains::kRulesKey};
+  return {"task/",           "pool/",         state::kTimelineKey, shares::kSharesKey,
+          drains::kRulesKey, zones::kZonesKey};
 }
 
 bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level) {
--- a/src/levels/table.h
+++ b/src/levels/table.h
@@ -22,7 +22,7 @@
 inline constexpr std::uint32_t kAges = 3;         // "timeline"; no whole record is left
 inline constexpr std::uint32_t kClosedPools = 4;  // a pool that is asked for nothing has no record
 inline constexpr std::uint32_t kShares = 5;       // "shares"
-inline constexpr std::uint32_t kDrains = 6;       // "drains", "drains/used"
+inline constexpr std::uint32_t kDrains = 6;       // "drains", "drains/used", "zones"
 inline constexpr std::uint32_t kOldest = kWhole;  // the oldest level that this version speaks
 inline constexpr std::uint32_t kNewest = kDrains;
 
@@ -35,8 +35,8 @@
     {kClosedPools, "0.4.0", "pool/ only while a request is out", "the leader removes closed ones",
      "nothing to do: an absent record reads as a closed one", ""},
     {kShares, "0.4.0", "shares", "nothing to do", "shares is removed", ""},
-    {kDrains, "0.5.0", "drains, drains/used", "nothing to do",
-     "both are removed, and with them all drains end", ""},
+    {kDrains, "0.5.0", "drains, drains/used, zones", "nothing to do",
+     "all three are removed, and with them all drains end", ""},
 }};
 
 inline const Level& row(std::uint32_t level) { return kTable[level - 1]; }
--- a/src/zones/zones.cpp
+++ b/src/zones/zones.cpp
@@ -3,8 +3,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <boost/math/distributions/binomial.hpp>
 #include <cmath>
 
+#include "levels/table.h"
 #include "placement/order.h"
 #include "placement/plan.h"
 
@@ -24,7 +26,12 @@
 constexpr double kDoubt = 0.6;
 constexpr double kHeardAgain = 0.4;
 constexpr double kElsewhere = 0.3;  // more than that is silent everywhere: it is not the zone
+// Five of eight machines hung by chance while one in seven did elsewhere, and the zone was lost.
+constexpr double kNotChance = 1e-5;
+constexpr double kLeastShare = 0.05;  // that is overdue anywhere
 constexpr std::size_t kFewest = 4;
+constexpr std::size_t kMostZones = 200;  // in the record
+constexpr double kApartFor = 0.75;       // reports' periods
 // What is silent for longer than its lease has killed its tasks, but for what a leader inside kept.
 constexpr double kDead = 1.1;  // leases
 // Times that. Where there is no room for its work it is the first room there will be when the zone
@@ -45,16 +52,24 @@
   return host.runs && type != nullptr && now - host.rented_at > kBoots * type->boot_s;
 }
 
-double silence(const Host& host, double since, double now) {
-  return now - std::max(host.heard_at, since);
-}
-
 double overdue_after(const Cluster& cluster) {
   return kPeriodsApart * cluster.platform.workers.report_s + kAnswers_s;
 }
 
+// How likely as many would be overdue if each were with that chance.
+double by_chance(const Sight& sight, double each) {
+  if (sight.overdue == 0) return 1;
+  const boost::math::binomial_distribution<double> overdue(static_cast<double>(sight.machines),
+                                                           each);
+  return boost::math::cdf(boost::math::complement(overdue, static_cast<double>(sight.overdue) - 1));
+}
+
 }  // namespace
 
+bool is_stale(const std::string& key, const wire::Json&, std::uint32_t level) {
+  return key == kZonesKey && level < levels::kDrains;
+}
+
 const char* name_of(State state) {
   switch (state) {
     case State::well:
@@ -74,12 +89,23 @@
   const double late = overdue_after(cluster);
   for (const auto& host : cluster.hosts) {
     if (!host || host->zone == kNone || !should_be_heard(cluster, *host, now)) continue;
+    const bool overdue = now - std::max(host->heard_at, since) > late;
     ++sights[host->zone].machines;
-    sights[host->zone].overdue += silence(*host, since, now) > late ? 1 : 0;
+    sights[host->zone].overdue += overdue ? 1 : 0;
+    sights[host->zone].heard += !overdue && host->heard_at >= since ? 1 : 0;
   }
   return sights;
 }
 
+// Since this leader began, or since the zone was lost under an earlier one, once we have listened
+// for as long as reports may take.
+double Zones::silence(const Cluster& cluster, const Host& host, double since, double now) const {
+  const auto at = zones_.find(host.zone);
+  const bool known = at != zones_.end() && at->second.inherited && host.heard_at < since &&
+                     now - since > overdue_after(cluster);
+  return now - std::max(host.heard_at, known ? at->second.lost_since : since);
+}
+
 State Zones::state(Index zone) const {
   const auto at = zones_.find(zone);
   return at == zones_.end() ? State::well : at->second.state;
@@ -95,11 +121,12 @@
   Zone& zone = zones_[index];
   zone.state = state;
   zone.since = now;
+  changed_ = true;
   spdlog::info("zone {}: {}: {}", cluster.zones[index], zones::name_of(state), why);
 }
 
 void Zones::judge(const Cluster& cluster, Index index, const Sight& sight, const Sight& others,
-                  double now) {
+                  double since, double now) {
   Zone& zone = zones_[index];
   const auto share = [](const Sight& one) {
     return one.machines == 0 ? 0
@@ -108,8 +135,13 @@
   const std::string counts =
       fmt::format("{} of {} machines are overdue, elsewhere {} of {}", sight.overdue,
                   sight.machines, others.overdue, others.machines);
-  const bool silent = sight.machines >= kFewest && share(sight) >= kDoubt &&
-                      others.machines >= kFewest && share(others) < kElsewhere;
+  const bool apart = sight.machines >= kFewest && others.machines >= kFewest &&
+                     share(sight) >= kDoubt && share(others) < kElsewhere &&
+                     by_chance(sight, std::max(share(others), kLeastShare)) < kNotChance;
+  // When all are silent, or heard again, no two zones are so at the same moment.
+  if (!apart) zone.apart_since = now;
+  const bool silent =
+      apart && now - zone.apart_since >= kApartFor * cluster.platform.workers.report_s;
   const double lease = cluster.platform.workers.lease_s;
   switch (zone.state) {
     case State::well:
@@ -120,10 +152,14 @@
       return;
     case State::doubtful:
     case State::lost: {
-      const bool heard = sight.machines >= kFewest && share(sight) < kHeardAgain;
-      const bool nobody = sight.machines < kFewest && now - zone.since > kNobodyThere_s;
+      const bool heard =
+          sight.machines >= kFewest && static_cast<double>(sight.heard) >
+                                           (1 - kHeardAgain) * static_cast<double>(sight.machines);
+      const bool nobody =
+          sight.machines < kFewest && now - std::max(zone.since, since) > kNobodyThere_s;
       if (heard || nobody) {
         zone.heard_again_at = now;
+        zone.inherited = false;
         zone.flaps = std::min(zone.flaps + 1, kMostFlaps);
         enter(cluster, index, State::returning,
               heard ? fmt::format("after {:.0f} s", now - zone.lost_since)
@@ -152,15 +188,16 @@
   }
   for (Index zone = 0; zone < sights.size(); ++zone) {
     const Sight& sight = sights[zone];
-    judge(cluster, zone, sight, {all.machines - sight.machines, all.overdue - sight.overdue}, now);
+    judge(cluster, zone, sight, {all.machines - sight.machines, all.overdue - sight.overdue, 0},
+          since, now);
   }
   const double late = overdue_after(cluster);
   std::vector<placement::TaskRef> unsent;
   for (const auto& host : cluster.hosts) {
     if (!host || host->zone == kNone) continue;
     const State state = this->state(host->zone);
-    const bool cut =
-        (state == State::doubtful || state == State::lost) && silence(*host, since, now) > late;
+    const bool cut = (state == State::doubtful || state == State::lost) &&
+                     (host->heard_at < since || silence(cluster, *host, since, now) > late);
     host->lost = cut && state == State::lost;
     if (!std::exchange(host->cut, cut) && cut) {
       unsent.insert(unsent.end(), host->attempts.begin(), host->attempts.end());
@@ -176,6 +213,39 @@
   }
 }
 
+wire::Json Zones::encode(const Cluster& cluster) const {
+  wire::Json list = wire::Json::array();
+  for (const auto& [index, zone] : zones_) {
+    if (zone.state == State::well && zone.flaps == 0) continue;
+    list.push_back({{"name", cluster.zones[index]},
+                    {"state", static_cast<std::uint64_t>(zone.state)},
+                    {"flaps", zone.flaps}});
+  }
+  return {{"zones", std::move(list)}};
+}
+
+void Zones::inherit(const wire::Json& record, Cluster& cluster, double at, double now) {
+  if (!record.is_object()) throw wire::BadMessage("zones: not a map");
+  std::map<std::string, Zone> found;
+  for (const wire::Json& item : wire::list(record, "zones")) {
+    Zone zone;
+    zone.state = static_cast<State>(
+        wire::count(item, "state", static_cast<std::uint64_t>(State::returning)));
+    zone.flaps = static_cast<int>(wire::count(item, "flaps", kMostFlaps));
+    zone.since = zone.lost_since = std::min(at, now);
+    if (zone.state == State::returning) zone.flaps = std::max(zone.flaps, 1);
+    zone.inherited = zone.state == State::doubtful || zone.state == State::lost;
+    found[wire::text(item, "name")] = zone;
+  }
+  if (found.size() > kMostZones) throw wire::BadMessage("zones: too many");
+  for (const auto& [name, zone] : found) {
+    zones_[cluster.zones.add(name)] = zone;
+    if (zone.state != State::well) {
+      spdlog::info("zone {}: {}: as an earlier leader found", name, zones::name_of(zone.state));
+    }
+  }
+}
+
 std::set<Pool> Zones::closed(const Cluster& cluster) const {
   std::set<Pool> pools;
   for (const auto& [index, zone] : zones_) {
@@ -244,7 +314,7 @@
   for (const Candidate& one : candidates) {
     if (allowance_ < 1) break;
     const Host& host = *cluster.hosts[one.host];
-    const double silent = silence(host, since, now);
+    const double silent = silence(cluster, host, since, now);
     const bool idle = host.attempts.empty();
     if (silent <= dead) {  // its turn is to come; the room is not for those behind it
       room -= one.cores;
--- a/src/zones/zones.h
+++ b/src/zones/zones.h
@@ -5,8 +5,10 @@
 // worker's report); so which machines are returned, and when, is the decision. They go as other
 // zones can take their work in, the most urgent first, and never all at once.
 //
-// Forgotten at a change of leaders: that a zone was lost. The next leader sees its machines unheard
-// and finds it lost anew, a lease later at most; meanwhile it returns nothing there.
+// Kept across leaders in one record, `zones`, written when a state changes: the next leader neither
+// waits for the silence anew nor rents there, and returns nothing before it has listened for as
+// long as reports may take. Forgotten: how far a return in order had come, which follows from what
+// is left.
 #pragma once
 
 #include <map>
@@ -22,6 +24,10 @@
 using placement::Index;
 using placement::Pool;
 
+inline constexpr const char* kZonesKey = "zones";
+// Whether it is a record of this slice that the level does not have, or has in another form.
+bool is_stale(const std::string& key, const wire::Json& value, std::uint32_t level);
+
 enum class State { well, doubtful, lost, returning };
 const char* name_of(State state);
 
@@ -29,6 +35,7 @@
 struct Sight {
   std::size_t machines = 0;  // that should be heard
   std::size_t overdue = 0;   // that are silent for longer than reports lie apart
+  std::size_t heard = 0;     // by this leader, and not overdue
 };
 
 class Zones {
@@ -43,6 +50,11 @@
   double heard_again_at(Index zone) const;
   // Machines of lost zones to be returned now.
   std::vector<Index> to_return(const Cluster& cluster, double since, double now);
+  wire::Json encode(const Cluster& cluster) const;
+  // What an earlier leader wrote, at `at` by our clock. Throws wire::BadMessage and is as it was.
+  void inherit(const wire::Json& record, Cluster& cluster, double at, double now);
+  bool has_changed() const { return changed_; }
+  void note_written() { changed_ = false; }
   // Pools in zones that are not well: nothing is rented there.
   std::set<Pool> closed(const Cluster& cluster) const;
 
@@ -52,15 +64,20 @@
     double since = 0;       // of the state
     double lost_since = 0;  // when it was first doubted, this time
     double heard_again_at = -1e9;
+    double apart_since = 0;  // silent while the others are not
     int flaps = 0;
+    bool inherited = false;  // and this leader has not heard of it otherwise
   };
+  double silence(const Cluster& cluster, const placement::Host& host, double since,
+                 double now) const;
   void judge(const Cluster& cluster, Index zone, const Sight& sight, const Sight& others,
-             double now);
+             double since, double now);
   void enter(const Cluster& cluster, Index zone, State state, const std::string& why, double now);
 
   std::map<Index, Zone> zones_;
   double allowance_ = 0;  // machines that may be returned, fractions kept
   double passed_at_ = -1;
+  bool changed_ = false;
 };
 
 }  // namespace reachramp::zones
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -422,6 +422,7 @@
     if (!old) {
       snapshot.drains = found(drains::kRulesKey);
       snapshot.drains_used = found(drains::kUsedKey);
+      snapshot.zones = found(zones::kZonesKey);
     }
     if (!old && !level.empty()) snapshot.level = level.front();
     snapshot.timeline.note(store_.epoch(), now_);
