--- a/src/drains/drains.cpp
+++ b/src/drains/drains.cpp
@@ -45,13 +45,6 @@
   return true;
 }
 
-// It has been up, or the cloud has said so for so long that its worker must be.
-bool should_be_heard(const Cluster& cluster, const Host& host, double now) {
-  if (host.phase != HostPhase::booting) return host.phase == HostPhase::up;
-  const auto* type = cluster.type_of(host);
-  return host.runs && type != nullptr && now - host.rented_at > kBoots * type->boot_s;
-}
-
 }  // namespace
 
 void Drains::rule(Rules rules, std::map<std::uint64_t, double> accepted, double now) {
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr double kLeastNotice = 1.5;
+constexpr double kSurelyUp = 3;  // boot times
 // A gang waits so long behind its own team's limit before the team's arrays give way.
 constexpr double kGiveWayAfter_s = 30;
 constexpr Usage kNothing{};
@@ -225,6 +226,12 @@
          now - host.heard_at < cluster.platform.workers.lease_s;
 }
 
+bool should_be_heard(const Cluster& cluster, const Host& host, double now) {
+  if (host.phase != HostPhase::booting) return host.phase == HostPhase::up;
+  const auto* type = cluster.type_of(host);
+  return host.runs && type != nullptr && now - host.rented_at > kSurelyUp * type->boot_s;
+}
+
 bool allows(const Cluster& cluster, const Job& job, Index type, bool spot) {
   return (job.spec.spot || !spot) && job.fits[type] && !cluster.is_kept_from(job, type, spot);
 }
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -11,6 +11,10 @@
 // Whether the machine can be given tasks now.
 bool usable(const Cluster& cluster, const Host& host, double now);
 
+// Whether its worker ought to report: it has been up, or the cloud has listed it as running for so
+// long that it must be. An earlier leader's machines are such before they are heard.
+bool should_be_heard(const Cluster& cluster, const Host& host, double now);
+
 // Whether the job may run on such machines, in their zone, and on the machine.
 bool allows(const Cluster& cluster, const Job& job, Index type, bool spot);
 bool in_zone(const Job& job, Index zone);
--- a/src/zones/zones.cpp
+++ b/src/zones/zones.cpp
@@ -43,14 +43,6 @@
 constexpr double kNobodyThere_s = 60;        // then it is tried by renting
 constexpr double kReturnedPerSecond = 0.05;  // of the machines of other zones
 constexpr double kLeastCharge_s = 60;  // renting anew costs as much as keeping an idle one so long
-constexpr double kBoots = 3;
-
-bool should_be_heard(const Cluster& cluster, const Host& host, double now) {
-  if (host.phase != HostPhase::booting) return host.phase == HostPhase::up;
-  // One that an earlier leader knew, or whose worker never found us: the cloud says that it runs.
-  const auto* type = cluster.type_of(host);
-  return host.runs && type != nullptr && now - host.rented_at > kBoots * type->boot_s;
-}
 
 double overdue_after(const Cluster& cluster) {
   return kPeriodsApart * cluster.platform.workers.report_s + kAnswers_s;
