--- a/src/controller/leader_drains.cpp
+++ b/src/controller/leader_drains.cpp
@@ -39,6 +39,14 @@
       times[serial] = timeline_.time_of(stamp, now);
     }
     times[accepted.serial] = timeline_.time_of(entry->stamp, now);
+    std::set<std::string> types, zones;
+    for (const auto& type : cluster_.catalog) {
+      types.insert(type.name);
+      zones.insert(type.zones.begin(), type.zones.end());
+    }
+    for (const std::string& wrong : drains::check_names(rules, types, zones)) {
+      if (!types.empty()) spdlog::error("drains: {}", wrong);
+    }
     drains_.rule(std::move(rules), std::move(times), now);
     drains_stamp_ = entry->stamp;
     bad_drains_.clear();
