Blame by evidence, shared reads, deaf machines, a cut leader lets go

A job that fails everywhere drained two machines and was tried whole each time; each poll cost one or two reads of a shared rate; a machine that reports without hearing us was placed on for ever; a leader cut from the state service and the others kept its workers for as long. Change: slice quarantine (failures weighed by what jobs do elsewhere; a job that works nowhere is tried one by one and rented nothing); jobs/reads (one comparison for all that ask at once, final states from memory); sessions that end although we answered show a deaf machine, which goes back after two leases; a leader lets go when peers show a cut, not an outage; after standing still nothing is rented or returned before the next renewal.

--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -101,6 +101,7 @@
 
   void upkeep(double now);
   void tell_heard(double now);
+  void find_deaf(double now);
   void buy(double now);
   void give_back(Index host, const char* why);
   void answer(const std::string& host, const Answerer& answer, double now);
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -20,6 +20,9 @@
 constexpr double kNeverBoots = 4;  // boot times
 constexpr double kTombstoneFor = 300;
 constexpr double kStoreZones_s = 1;
+// A machine that reports without hearing us goes back after so many leases: its tasks ended with
+// the first, and a network that is cut one way may mend.
+constexpr double kDeafLeases = 2;
 constexpr double kCutLasts = 4;  // times the silence that is held against a single machine
 
 }  // namespace
@@ -72,6 +75,7 @@
     const Index index = cluster_.add_host(machine.name, now);
     cluster_.describe_host(index, machine.type, machine.zone, machine.spot);
     Host& host = *cluster_.hosts[index];
+    host.hearsay = false;
     // Whoever learnt of the machine from a report or a record does not know its age.
     host.rented_at = std::min(host.rented_at, now - machine.held_s);
     host.runs = machine.phase == cloud::MachinePhase::running;
@@ -117,6 +121,7 @@
     const Index index = cluster_.add_host(name, now);
     cluster_.describe_host(index, hire.type, hire.zone, hire.spot);
     cluster_.hosts[index]->rented_at = asked_at;
+    cluster_.hosts[index]->hearsay = false;
   }
   if (static_cast<int>(hired.machines.size()) < hire.count) {
     buyer_.note_refused(pool, now);
@@ -177,8 +182,30 @@
   buyer_.close(std::move(pools));
 }
 
+// Machines that report but do not hear us take nothing new and go back after a while. Where many
+// are so at once it is the network's matter, or our own lateness, and none is held to be so.
+void Leader::find_deaf(double now) {
+  int up = 0, unheeding = 0;
+  for (const auto& host : cluster_.hosts) {
+    if (!host || host->phase != HostPhase::up) continue;
+    ++up;
+    unheeding += host->unheeded >= workers::kDeafFrom ? 1 : 0;
+  }
+  const bool many = unheeding > 1 && unheeding * 3 > up;
+  for (const auto& host : cluster_.hosts) {
+    if (!host || host->phase != HostPhase::up) continue;
+    const bool deaf = host->unheeded >= workers::kDeafFrom && !many;
+    if (deaf == (host->deaf_since >= 0)) continue;
+    spdlog::info("machine {} {}", host->name,
+                 deaf ? "reports, but our answers do not reach it" : "hears us again");
+    host->deaf_since = deaf ? now : -1;
+    replan_ = rebuy_ = true;
+  }
+}
+
 void Leader::upkeep(double now) {
   tell_heard(now);
+  find_deaf(now);
   const double silent = platform_.workers.lease_s * 1.1;
   const auto is_silent = [&](const Host& host) {
     return host.phase == HostPhase::up && now - std::max(host.heard_at, since_) > silent;
@@ -228,6 +255,9 @@
     const double quiet_for = now - std::max(host->heard_at, from);
     if (quiet_for > silent && (!many || quiet_for > kCutLasts * silent)) {
       give_back(i, "it is silent");
+    } else if (host->deaf_since >= 0 &&
+               now - host->deaf_since > kDeafLeases * platform_.workers.lease_s) {
+      give_back(i, "our answers do not reach it");
     } else if (host->draining && host->reclaim_at == placement::kNever && host->attempts.empty()) {
       give_back(i, "it does not work");
     }
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -47,7 +47,9 @@
       cloud_(platform_.cloud),
       speech_{levels::kOldest, levels::kNewest, policy_.hold_at, REACHRAMP_VERSION},
       book_(state_, platform_, speech_),
-      campaign_(state_, platform_, [this] { return book_.another_should_lead(); }),
+      campaign_(
+          state_, platform_, [this] { return book_.another_should_lead(); },
+          [this](double silent_s, double permit_s) { return health_.cut_off(silent_s, permit_s); }),
       members_(state_, platform_),
       relay_(platform_),
       health_(state_, platform_),
@@ -131,7 +133,7 @@
   for (;;) {
     const leadership::Standing standing = campaign_.standing();
     if (standing.baton != 0) return ask_owner(standing.baton, report);
-    if (origin == Origin::relay) break;
+    if (origin == Origin::relay || standing.cut_off) break;
     const double now = steady_now();
     const bool detour = origin == Origin::worker;
     if (!standing.leader.empty() && standing.leader != platform_.node_name) {
@@ -492,7 +494,8 @@
         catalog_at = now - kCatalogEvery_s + 2;
       }
     }
-    if (!waiting.empty()) {
+    // After standing still it may be another's: nothing is rented or returned on a view from before.
+    if (!waiting.empty() && campaign_.is_sure_of(baton)) {
       const CloudWork work = next_work(waiting);
       cloud_turn();
       if (work.order.kind == CloudOrder::Kind::hire) {
--- a/src/jobs/door.cpp
+++ b/src/jobs/door.cpp
@@ -12,6 +12,9 @@
 
 // The counts of a header grow after it was accepted.
 constexpr std::size_t kCountsGrow = 64;
+// Of the requests that the state service takes of all nodes together: users' questions may have so
+// many. Permits, watches, submissions and the leader's records have the rest.
+constexpr double kAskShare = 0.5;
 
 wire::Reply unsure() { return {503, {{"error", "cannot tell now"}}, 1}; }
 wire::Reply refused(int status, const std::string& reason) { return {status, {{"error", reason}}}; }
@@ -26,6 +29,8 @@
 Door::Door(state::Client& state, const settings::Platform& platform, peers::Members& members,
            levels::Book& book, CatalogSource catalog)
     : state_(state),
+      reads_(state, platform.state_limits.rps * kAskShare / (1.0 + platform.members.size()),
+             4 * static_cast<std::size_t>(std::max(1, platform.lasting().txn_ops))),
       platform_(platform),
       members_(members),
       book_(book),
@@ -48,33 +53,6 @@
   return state_.commit(transaction);
 }
 
-// A job moves once, from job/ to end/, in one transaction. Reading in that order, "absent" twice
-// means that it was not accepted when the question was asked.
-Door::Lookup Door::look_up(const std::string& id) {
-  Lookup lookup;
-  try {
-    const state::Found live = state_.get(job_key(id));
-    if (live.outcome == Outcome::ok) {
-      lookup.header = decode_header(live.entry.value);
-      lookup.stamp = live.entry.stamp;
-      lookup.presence = Presence::live;
-      return lookup;
-    }
-    if (live.outcome != Outcome::absent) return lookup;
-    const state::Found ended = state_.get(end_key(id));
-    if (ended.outcome == Outcome::ok) {
-      lookup.ending = decode_ending(ended.entry.value);
-      lookup.presence = Presence::ended;
-    } else if (ended.outcome == Outcome::absent) {
-      lookup.presence = Presence::absent;
-    }
-  } catch (const std::exception& error) {
-    spdlog::error("record of {}: {}", id, error.what());
-    lookup.presence = Presence::unsure;
-  }
-  return lookup;
-}
-
 wire::Reply Door::describe(const std::string& id, const Lookup& lookup) const {
   switch (lookup.presence) {
     case Presence::live: {
@@ -95,7 +73,7 @@
 
 // Machine types come and go, and so do limits: what was accepted once is never refused afterwards.
 wire::Reply Door::known_or(const std::string& id, const wire::Reply& otherwise) {
-  const Lookup known = look_up(id);
+  const Lookup known = reads_.read(id);
   return known.presence == Presence::absent ? otherwise : describe(id, known);
 }
 
@@ -105,7 +83,7 @@
   if (members_.look() != true) return unsure();
   bool doomed = false;
   for (const std::string& need : spec.needs) {
-    const Lookup found = look_up(need);
+    const Lookup found = reads_.read(need);
     switch (found.presence) {
       case Presence::live:
         if (found.header.spec.shape == Shape::service) {
@@ -149,6 +127,7 @@
   if (committed.outcome == Outcome::ok) {
     spdlog::info("job {} accepted: class {} team {} tasks {}", id, header.spec.job_class,
                  header.spec.team, header.spec.tasks);
+    reads_.remember(id, header, committed.epoch);
     return {201, {{"ref", id}, {"phase", header.cancelled ? "aborted" : "pending"}}};
   }
   if (committed.outcome != Outcome::conflict) return unsure();
@@ -157,13 +136,13 @@
 
 wire::Reply Door::query(const std::string& id) {
   if (!is_job_id(id)) return unknown_job();
-  return describe(id, look_up(id));
+  return describe(id, reads_.ask(id));
 }
 
 wire::Reply Door::withdraw(const std::string& id) {
   if (!is_job_id(id)) return unknown_job();
   for (int attempt = 0; attempt < 4; ++attempt) {
-    Lookup known = look_up(id);
+    Lookup known = reads_.read(id);
     if (known.presence != Presence::live || known.header.cancelled) return describe(id, known);
     // Conditional on the header's stamp: a job that has just ended keeps its end.
     state::Transaction cancel;
@@ -179,6 +158,7 @@
     const state::Committed committed = commit(cancel);
     if (committed.outcome == Outcome::ok) {
       spdlog::info("job {} cancelled", id);
+      reads_.remember(id, known.header, committed.epoch);
       return describe(id, known);
     }
     if (committed.outcome != Outcome::conflict) return unsure();
--- a/src/jobs/door.h
+++ b/src/jobs/door.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "jobs/reads.h"
 #include "jobs/spec.h"
 #include "levels/book.h"
 #include "peers/members.h"
@@ -26,15 +27,6 @@
   wire::Reply withdraw(const std::string& id);
 
  private:
-  enum class Presence { live, ended, absent, unsure };
-  struct Lookup {
-    Presence presence = Presence::unsure;
-    Header header;
-    std::uint64_t stamp = 0;
-    Ending ending;
-  };
-
-  Lookup look_up(const std::string& id);
   // A job that is known already is answered by its state, whatever else there is to say.
   wire::Reply known_or(const std::string& id, const wire::Reply& otherwise);
   // What the jobs that it needs say of it: whether one of them is cancelled, or a refusal.
@@ -45,6 +37,7 @@
   state::Committed commit(state::Transaction transaction);
 
   state::Client& state_;
+  Reads reads_;
   const settings::Platform& platform_;
   peers::Members& members_;
   levels::Book& book_;
--- /dev/null
+++ b/src/jobs/reads.cpp
@@ -0,0 +1,217 @@
+#include "jobs/reads.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "state/clock.h"
+
+namespace reachramp::jobs {
+
+namespace {
+
+using state::Outcome;
+using state::steady_now;
+
+constexpr double kPatience_s = 1.2;  // users wait 2 s
+constexpr int kMostReading = 3;      // batches at once
+constexpr int kMostRounds = 3;       // of comparing what has not changed
+constexpr std::size_t kMostKnown = 2000;
+// Read one after another: a slow service must not hold up all that were taken with them.
+constexpr std::size_t kMostUnknown = 6;
+constexpr double kLeastRate = 4;
+
+bool is_final(const Lookup& lookup) {
+  return lookup.presence == Presence::ended ||
+         (lookup.presence == Presence::live && lookup.header.cancelled);
+}
+
+}  // namespace
+
+Reads::Reads(state::Client& state, double rps, std::size_t conditions)
+    : state_(state),
+      most_(std::max<std::size_t>(1, conditions)),
+      bucket_(std::max(rps, kLeastRate), std::max(rps, kLeastRate)) {}
+
+// A job moves once, from job/ to end/, in one transaction. Reading in that order, "absent" twice
+// means that it was not accepted when the question was asked.
+Lookup Reads::read(const std::string& id) {
+  Lookup lookup;
+  try {
+    const state::Found live = state_.get(job_key(id));
+    if (live.outcome == Outcome::ok) {
+      lookup.header = decode_header(live.entry.value);
+      lookup.stamp = live.entry.stamp;
+      lookup.presence = Presence::live;
+    } else if (live.outcome == Outcome::absent) {
+      const state::Found ended = state_.get(end_key(id));
+      if (ended.outcome == Outcome::ok) {
+        lookup.ending = decode_ending(ended.entry.value);
+        lookup.presence = Presence::ended;
+      } else if (ended.outcome == Outcome::absent) {
+        lookup.presence = Presence::absent;
+      }
+    }
+  } catch (const std::exception& error) {
+    spdlog::error("record of {}: {}", id, error.what());
+    lookup.presence = Presence::unsure;
+  }
+  keep(id, lookup);
+  return lookup;
+}
+
+void Reads::remember(const std::string& id, const Header& header, std::uint64_t stamp) {
+  Lookup lookup;
+  lookup.presence = Presence::live;
+  lookup.header = header;
+  lookup.stamp = stamp;
+  keep(id, lookup);
+}
+
+void Reads::keep(const std::string& id, const Lookup& lookup) {
+  if (lookup.presence != Presence::live && lookup.presence != Presence::ended) return;
+  std::lock_guard lock(mutex_);
+  const auto [at, fresh] = known_.try_emplace(id, lookup);
+  if (!fresh) {
+    // Reads overtake each other; what is final stays.
+    if (!is_final(at->second) &&
+        (lookup.presence == Presence::ended || lookup.stamp > at->second.stamp)) {
+      at->second = lookup;
+    }
+    return;
+  }
+  known_order_.push_back(id);
+  if (known_order_.size() <= kMostKnown) return;
+  known_.erase(known_order_.front());
+  known_order_.pop_front();
+}
+
+std::optional<Lookup> Reads::known(const std::string& id) {
+  std::lock_guard lock(mutex_);
+  const auto at = known_.find(id);
+  return at == known_.end() ? std::nullopt : std::optional(at->second);
+}
+
+Lookup Reads::ask(const std::string& id) {
+  const double until = steady_now() + kPatience_s;
+  std::unique_lock lock(mutex_);
+  const auto final_answer = known_.find(id);
+  if (final_answer != known_.end() && is_final(final_answer->second)) return final_answer->second;
+  Asked& slot = waiting_by_id_[id];
+  if (!slot) {
+    slot = std::make_shared<Question>();
+    slot->id = id;
+    waiting_.push_back(slot);
+  }
+  const Asked question = slot;
+  ++question->waiters;
+  while (!question->answered) {
+    const double now = steady_now();
+    if (now >= until) {
+      if (--question->waiters == 0 && !question->taken) {
+        waiting_by_id_.erase(id);
+        std::erase(waiting_, question);
+      }
+      return {};
+    }
+    double wait = until - now;
+    if (!question->taken && reading_ < kMostReading) {
+      const double token = bucket_.take(1, now);
+      if (token <= 0) {
+        ++reading_;
+        const std::vector<Asked> batch = take();
+        lock.unlock();
+        resolve(batch);
+        lock.lock();
+        --reading_;
+        changed_.notify_all();
+        continue;
+      }
+      wait = std::min(wait, token);
+    }
+    changed_.wait_for(lock, std::chrono::duration<double>(wait));
+  }
+  return question->answer;
+}
+
+// Whoever asks from now on is not among them: the reads may be under way.
+std::vector<Reads::Asked> Reads::take() {
+  std::vector<Asked> batch;
+  std::size_t unknown = 0;
+  while (!waiting_.empty() && batch.size() < most_ && unknown < kMostUnknown) {
+    unknown += known_.contains(waiting_.front()->id) ? 0 : 1;
+    waiting_.front()->taken = true;
+    waiting_by_id_.erase(waiting_.front()->id);
+    batch.push_back(std::move(waiting_.front()));
+    waiting_.pop_front();
+  }
+  return batch;
+}
+
+bool Reads::may_read() {
+  for (;;) {
+    double wait = 0;
+    {
+      std::lock_guard lock(mutex_);
+      wait = bucket_.take(1, steady_now());
+    }
+    if (wait <= 0) return true;
+    if (wait > kPatience_s / 2) return false;
+    std::this_thread::sleep_for(std::chrono::duration<double>(wait));
+  }
+}
+
+void Reads::resolve(const std::vector<Asked>& batch) {
+  std::vector<Asked> known_ones, to_read;
+  for (const Asked& question : batch) {
+    (batch.size() > 1 && known(question->id) ? known_ones : to_read).push_back(question);
+  }
+  for (Asked& question : confirm(std::move(known_ones))) to_read.push_back(std::move(question));
+  // The token that the batch was taken for serves its first request.
+  bool paid = to_read.size() == batch.size();
+  for (const Asked& question : to_read) {
+    Lookup answer;
+    if (std::exchange(paid, false) || may_read()) answer = read(question->id);
+    std::lock_guard lock(mutex_);
+    question->answer = std::move(answer);
+    question->answered = true;
+    changed_.notify_all();
+  }
+}
+
+// One comparison for all of them. The service need not name all that differ, so the rest is
+// compared again.
+std::vector<Reads::Asked> Reads::confirm(std::vector<Asked> same) {
+  std::vector<Asked> changed;
+  for (int round = 0; round < kMostRounds && !same.empty(); ++round) {
+    state::Transaction compare;
+    std::vector<Lookup> held;
+    for (const Asked& question : same) {
+      held.push_back(known(question->id).value_or(Lookup{}));
+      compare.conditions.emplace_back(job_key(question->id), held.back().stamp);
+    }
+    if (round > 0 && !may_read()) break;
+    const state::Committed compared = state_.commit(compare);
+    if (compared.outcome == Outcome::conflict && !compared.failed.empty()) {
+      const auto differs = std::stable_partition(same.begin(), same.end(), [&](const Asked& one) {
+        return std::find(compared.failed.begin(), compared.failed.end(), job_key(one->id)) ==
+               compared.failed.end();
+      });
+      changed.insert(changed.end(), differs, same.end());
+      same.erase(differs, same.end());
+      continue;
+    }
+    std::lock_guard lock(mutex_);
+    for (std::size_t i = 0; i < same.size(); ++i) {
+      if (compared.outcome == Outcome::ok) same[i]->answer = held[i];
+      same[i]->answered = true;
+    }
+    changed_.notify_all();
+    same.clear();
+  }
+  changed.insert(changed.end(), same.begin(), same.end());
+  return changed;
+}
+
+}  // namespace reachramp::jobs
--- /dev/null
+++ b/src/jobs/reads.h
@@ -0,0 +1,70 @@
+// What the state service holds of a job, by strong reads that users who ask at the same time share.
+// Each question is answered by a read that was sent after it came, so no answer is older than any
+// that a node has given. Ended and cancelled jobs stay so: known once, they need no read.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jobs/spec.h"
+#include "state/client.h"
+
+namespace reachramp::jobs {
+
+enum class Presence { live, ended, absent, unsure };
+
+struct Lookup {
+  Presence presence = Presence::unsure;
+  Header header;            // live
+  std::uint64_t stamp = 0;  // of the header
+  Ending ending;            // ended
+};
+
+class Reads {
+ public:
+  // Questions may take so many requests a second, and a request so many conditions.
+  Reads(state::Client& state, double rps, std::size_t conditions);
+
+  // Reads now, alone.
+  Lookup read(const std::string& id);
+  // Shares its read with whoever waits. Within about a second: unsure if there was no chance.
+  Lookup ask(const std::string& id);
+  // The header is stored under the stamp: the next question takes a comparison, no read.
+  void remember(const std::string& id, const Header& header, std::uint64_t stamp);
+
+ private:
+  struct Question {
+    std::string id;
+    int waiters = 0;
+    bool taken = false;
+    bool answered = false;
+    Lookup answer;
+  };
+  using Asked = std::shared_ptr<Question>;
+
+  std::vector<Asked> take();
+  void resolve(const std::vector<Asked>& batch);
+  // Answers those whose headers still stand as they are known; returns the others.
+  std::vector<Asked> confirm(std::vector<Asked> known);
+  std::optional<Lookup> known(const std::string& id);
+  void keep(const std::string& id, const Lookup& lookup);
+  bool may_read();
+
+  state::Client& state_;
+  const std::size_t most_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  state::Bucket bucket_;
+  int reading_ = 0;
+  std::deque<Asked> waiting_;
+  std::unordered_map<std::string, Asked> waiting_by_id_;
+  std::unordered_map<std::string, Lookup> known_;
+  std::deque<std::string> known_order_;  // the oldest first
+};
+
+}  // namespace reachramp::jobs
--- a/src/leadership/campaign.cpp
+++ b/src/leadership/campaign.cpp
@@ -36,20 +36,27 @@
 }  // namespace
 
 Campaign::Campaign(state::Client& state, const settings::Platform& platform,
-                   std::function<bool()> another_should)
+                   std::function<bool()> another_should,
+                   std::function<bool(double, double)> cut_off)
     : state_(state),
       platform_(platform),
       life_s_(std::clamp(platform.workers.lease_s * kLifeOfLease, 1.0, kLongestLife_s)),
       self_{platform.node_name,
             platform.cluster_listen.host + ":" + std::to_string(platform.cluster_listen.port),
             random_nonce()},
-      another_should_(std::move(another_should)) {}
+      another_should_(std::move(another_should)),
+      cut_off_(std::move(cut_off)) {}
 
 Standing Campaign::standing() {
   std::lock_guard lock(mutex_);
   return standing_;
 }
 
+bool Campaign::is_sure_of(std::uint64_t baton) {
+  std::lock_guard lock(mutex_);
+  return standing_.baton == baton && state::steady_now() - renewed_at_ < life_s_;
+}
+
 void Campaign::wait_for_change(const Standing& from, double seconds) {
   std::unique_lock lock(mutex_);
   changed_.wait_for(lock, std::chrono::duration<double>(seconds),
@@ -89,6 +96,11 @@
   if (barred && baton != 0) resign(baton);
 }
 
+void Campaign::note_renewed(double asked_at) {
+  std::lock_guard lock(mutex_);
+  renewed_at_ = asked_at;
+}
+
 void Campaign::set(std::uint64_t baton, const std::string& leader) {
   std::lock_guard lock(mutex_);
   if (standing_.leader != leader) {
@@ -132,11 +144,24 @@
   const std::uint64_t baton = standing().baton;
   if (baton == 0) return;
   // While the state service does not answer we go on answering workers, for their leases' sake;
-  // nothing new starts, and whoever takes over shows in a higher baton.
-  if (state_.renew(permit_) == Outcome::absent) {
+  // nothing new starts, and whoever takes over shows in a higher baton. Not when it is us alone:
+  // workers that we answer never report to whoever leads instead.
+  const double asked_at = state::steady_now();
+  const Outcome renewed = state_.renew(permit_);
+  if (renewed == Outcome::ok) {
+    note_renewed(asked_at);
+  } else if (renewed == Outcome::absent) {
     spdlog::info("the lead has run out");
     deposed(baton);
     permit_ = 0;
+  } else if (cut_off_(state::steady_now() - renewed_at_, life_s_)) {
+    spdlog::error("cut off: the lead is let go, and workers are sent on to other nodes");
+    // The key, should it still stand, counts as a predecessor's from now on.
+    permit_ = 0;
+    std::lock_guard lock(mutex_);
+    standing_ = {0, "", true};
+    position_ = 0;
+    changed_.notify_all();
   }
 }
 
@@ -149,6 +174,7 @@
     return;
   }
   waited_ = false;
+  const double asked_at = state::steady_now();
   const state::Permit permit = state_.hold(millis(life_s_));
   if (permit.outcome != Outcome::ok) {
     vacant_ = false;
@@ -162,6 +188,7 @@
   const state::Committed committed = state_.commit(claim);
   vacant_ = false;
   if (committed.outcome == Outcome::ok) {
+    note_renewed(asked_at);
     set(committed.epoch, platform_.node_name);
     return;
   }
@@ -194,6 +221,7 @@
   waited_ = vacant_ = false;
   switch (holder_of(value, self_, permit_)) {
     case Holder::ours:
+      note_renewed(state::steady_now());
       set(stamp, platform_.node_name);
       return;
     case Holder::predecessor:
--- a/src/leadership/campaign.h
+++ b/src/leadership/campaign.h
@@ -15,20 +15,27 @@
 struct Standing {
   std::uint64_t baton = 0;  // ours; 0 while we do not lead
   std::string leader;       // node that leads, as far as we know; empty: none
+  // This node has let the lead go because it is cut off: it waits for nobody on workers' behalf.
+  bool cut_off = false;
   bool operator==(const Standing&) const = default;
 };
 
 class Campaign {
  public:
+  // `cut_off`: whether a leader whose permit of so many seconds (the second) was last renewed so
+  // many seconds ago (the first) must let go although nobody told it that it has lost the lead.
   // `another_should` lead: whether a process that is through with a roll lives, which is given a
   // moment's start where the lead is vacant, so that a roll changes leaders once or twice.
   Campaign(state::Client& state, const settings::Platform& platform,
-           std::function<bool()> another_should);
+           std::function<bool()> another_should, std::function<bool(double, double)> cut_off);
 
   // Stands, renews, watches; for a thread of its own. Never returns.
   void run();
 
   Standing standing();
+  // Whether the lead with that baton is beyond doubt: its permit was renewed less than its life
+  // ago. A process that stood still may have been replaced, and finds out with its next renewal.
+  bool is_sure_of(std::uint64_t baton);
   // Waits until the standing is another, or the time is over.
   void wait_for_change(const Standing& from, double seconds);
   // Waits until we lead with a baton other than `last`.
@@ -49,6 +56,7 @@
   void bury(std::uint64_t stamp);
   void set(std::uint64_t baton, const std::string& leader);
   void pause(double seconds);
+  void note_renewed(double asked_at);
 
   state::Client& state_;
   const settings::Platform& platform_;
@@ -58,6 +66,8 @@
   std::condition_variable changed_;
   Standing standing_;
   const std::function<bool()> another_should_;
+  const std::function<bool(double, double)> cut_off_;
+  double renewed_at_ = 0;  // when the last renewal that was granted was asked for
   bool resigning_ = false;
   bool barred_ = false;
   std::uint64_t permit_ = 0;
--- a/src/peers/readiness.h
+++ b/src/peers/readiness.h
@@ -27,17 +27,37 @@
   double refused_at_ = 0;
 };
 
+// Why a leader that the state service does not answer may have to let its workers go: it can no
+// longer be the leader, but they would stay with it, and whoever leads now would not hear them.
+struct Isolation {
+  double silent_s = 0;         // since its permit was last renewed
+  bool refused = false;        // the state service answers, with refusals
+  std::size_t peers = 0;       // that were asked
+  std::size_t answered = 0;    // of them
+  bool others_served = false;  // one of them is served by the state service
+};
+// An outage is told from a cut by the others: one that is served shows a cut; others that answer and
+// are not served, an outage, in which workers must stay or lose their leases. Where none answers,
+// silence of the state service is a cut too, since in an outage it refuses; with refusals alone
+// nothing can tell them apart, and it lets go only after `kUnclear_s`.
+bool must_let_go(const Isolation& isolation, double permit_s);
+inline constexpr double kUnclear_s = 60;
+
 // Asks the other nodes.
 class Health {
  public:
   Health(const state::Client& state, const settings::Platform& platform);
 
   bool ready();
+  // Whether the leader here, whose permit of so many seconds was last renewed so long ago, must let
+  // its workers go. Asks the others where that matters.
+  bool cut_off(double silent_s, double permit_s);
   // What other nodes are told.
   wire::Reply served() const;
 
  private:
-  bool others_served();
+  // How many of those asked answered, and whether one is served.
+  std::pair<std::size_t, bool> ask_others(std::size_t most);
 
   const state::Client& state_;
   std::vector<std::unique_ptr<wire::Client>> others_;
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -281,7 +281,7 @@
 void Cluster::keep_for_large(double now) {
   std::erase_if(kept_for_large, [&](const auto& kept) { return kept.second < now; });
   for (const auto& job : jobs) {
-    if (!job || job->cancelled || job->waits() || job->smallest == kNone ||
+    if (!job || job->cancelled || job->waits() || job->suspect() || job->smallest == kNone ||
         !fills(*job, job->smallest))
       continue;
     kept_for_large[{job->smallest, false}] = now + kKeepForLarge_s;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -117,7 +117,8 @@
   // Faults: machines on which it failed, each with the time until which they are avoided (not for
   // ever: where all have failed it once, it would never run again), and when to try next.
   std::map<Index, double> failed_on;
-  std::uint32_t failures = 0;
+  std::uint32_t failures = 0;  // on a machine, those that come together counted once
+  std::uint32_t pauses = 0;    // in a row, each twice as long as the one before
   double not_before = 0;
 
   std::size_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
@@ -129,6 +130,9 @@
     return std::any_of(needs.begin(), needs.end(),
                        [](const Need& need) { return need.fate != Fate::done; });
   }
+  // It has failed on several machines, of which none is known to be faulty, and done well nowhere:
+  // as far as can be told it fails everywhere. It is tried task by task, and holds up nobody.
+  bool suspect() const { return done_count == 0 && failed_on.size() >= 2; }
   // A finished gang may still list tasks: they ended together with the one that said so.
   bool over() const {
     return (attempts.empty() && (complete() || cancelled)) ||
@@ -185,7 +189,21 @@
   std::vector<Exited> exited;
   std::vector<Exited> strangers;  // run there without an attempt of ours
   double idle_since = 0;
-  std::uint32_t faults = 0;
+  // For the slice `quarantine`: failures since its last success, by job; whether they are its own
+  // fault.
+  std::map<std::string, std::uint32_t> failed;
+  bool faulty = false;
+  // Of its newest session: when we first heard of it, and when we last answered a report of it.
+  double session_at = 0;
+  double answered_at = -1e9;
+  // Answers of ours in a row that its reports show no trace of, and since when it counts as one
+  // that does not hear us.
+  std::uint32_t unheeded = 0;
+  bool dropped = false;  // its newest report lacks a start that an answer before it carried
+  double deaf_since = -1;
+  // Known from a report alone that does not carry our baton: perhaps an old copy, of a machine that
+  // is gone.
+  bool hearsay = false;
 };
 
 struct Pool {
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <queue>
+#include <tuple>
 
 #include "placement/plan.h"
 
@@ -58,7 +59,8 @@
   if (cores <= 0) return;
   const std::vector<double> by_team = cores_by_team(cluster, cores);
   const auto rank = [&](Index i) {
-    return std::pair(!guaranteed[i], -static_cast<int>(cluster.jobs[i]->priority));
+    const Job& job = *cluster.jobs[i];
+    return std::tuple(job.suspect(), !guaranteed[i], -static_cast<int>(job.priority));
   };
   for (auto begin = order.begin(); begin != order.end();) {
     const auto end =
@@ -128,6 +130,7 @@
   std::vector<bool> guaranteed(cluster.jobs.size());
   for (const Index i : order) {
     const Job& job = *cluster.jobs[i];
+    if (job.suspect()) continue;
     const settings::Team& team = cluster.platform.teams[job.team];
     Usage& sum = claimed[job.team];
     const double left = job.spec.tasks - job.done_count;
@@ -139,6 +142,7 @@
   std::stable_sort(order.begin(), order.end(), [&](Index a, Index b) {
     const Job& x = *cluster.jobs[a];
     const Job& y = *cluster.jobs[b];
+    if (x.suspect() != y.suspect()) return y.suspect();
     if (guaranteed[a] != guaranteed[b]) return bool(guaranteed[a]);
     if (x.priority != y.priority) return x.priority > y.priority;
     return urgency(x, now) < urgency(y, now);
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -62,7 +62,7 @@
   std::vector<Kept> kept(cluster.used.size());
   for (const Index index : service.order) {
     const Job& job = *cluster.jobs[index];
-    if (job.spec.shape != jobs::Shape::gang || !job.attempts.empty() || now < job.not_before ||
+    if (job.spec.shape != jobs::Shape::gang || !job.attempts.empty() || job.suspect() ||
         now - job.freed_at < kGiveWayAfter_s) {
       continue;
     }
@@ -98,6 +98,9 @@
   Job& job = *cluster.jobs[index];
   std::uint32_t task = cluster.next_pending(job, 0);
   if (task == job.spec.tasks) return 0;
+  // What fails everywhere is tried one by one: a broken array of hundreds took all room each time.
+  const bool alone = job.suspect();
+  if (alone && !job.attempts.empty()) return 0;
   std::vector<Index> hosts = open.candidates(job);
   if (hosts.empty()) return 0;
   auto in_use = zones_in_use(cluster, job);
@@ -117,6 +120,7 @@
       cluster.place(index, task, attempt, host, now);
       ++placed;
       task = cluster.next_pending(job, task + 1);
+      if (alone) return placed;
     }
   }
   return placed;
@@ -164,7 +168,7 @@
   if (chosen.size() < wanted) {
     const Index zone =
         job.spec.one_zone && !chosen.empty() ? cluster.hosts[chosen.front()]->zone : kNone;
-    if (open.could_hold(job, zone, wanted)) open.keep(chosen);
+    if (!job.suspect() && open.could_hold(job, zone, wanted)) open.keep(chosen);
     return 0;
   }
   const std::uint64_t attempt = gathering ? job.last_attempt : job.last_attempt + 1;
@@ -199,13 +203,15 @@
   for (const auto& host : cluster.hosts) {
     if (!host) continue;
     const bool reclaimed = host->reclaim_at != kNever;
-    if (reclaimed || host->faults >= kTooManyFaults) host->draining = true;
-    if (!host->draining) continue;
+    if (reclaimed || host->faulty) host->draining = true;
+    if (!host->draining && host->deaf_since < 0) continue;
     const std::set<TaskRef> attempts = host->attempts;
     for (const TaskRef& ref : attempts) {
       Job& job = *cluster.jobs[ref.job];
       Attempt& attempt = job.attempts.at(ref.task);
       const bool started = attempt.sent || attempt.inherited;
+      // To what runs on a machine that does not hear us nothing can be said.
+      if (started && !host->draining) continue;
       const bool saves = job.spec.checkpoint_s > 0;
       if (!started || (saves && attempt.seen == Seen::running) ||
           (reclaimed && attempt.seen == Seen::fetching)) {
@@ -222,7 +228,7 @@
 
 bool usable(const Cluster& cluster, const Host& host, double now) {
   return host.phase == HostPhase::up && !host.draining && !host.going && !host.cut &&
-         host.type != kNone && host.faults < kTooManyFaults &&
+         host.type != kNone && !host.faulty && host.deaf_since < 0 && !host.hearsay &&
          now - host.heard_at < cluster.platform.workers.lease_s;
 }
 
@@ -273,7 +279,7 @@
     const int more = gang ? place_gang(cluster, index, open, left, now)
                           : place_array(cluster, index, open, left, now);
     placed += more;
-    if (!gang && cluster.next_pending(job, 0) < job.spec.tasks) {
+    if (!gang && !job.suspect() && cluster.next_pending(job, 0) < job.spec.tasks) {
       keep_growing_room(cluster, job, open);
     }
     if (more > 0 && cluster.next_pending(job, 0) == job.spec.tasks) {
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -5,9 +5,6 @@
 
 namespace reachramp::placement {
 
-// Machines that failed this often without a success are drained.
-inline constexpr std::uint32_t kTooManyFaults = 2;
-
 // Whether the machine can be given tasks now.
 bool usable(const Cluster& cluster, const Host& host, double now);
 
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -68,7 +68,9 @@
     if (write.permit) put["permit"] = *write.permit;
     then.push_back(std::move(put));
   }
-  return {{"if", std::move(conditions)}, {"then", std::move(then)}};
+  Json body{{"if", std::move(conditions)}};
+  if (!then.empty()) body["then"] = std::move(then);  // without it, it only compares
+  return body;
 }
 
 Committed decode_committed(const wire::Answer& answer) {
@@ -160,6 +162,7 @@
   std::lock_guard lock(mutex_);
   if (answer.status != 503) {
     refused_since_ = -1;
+    served_at_ = now;
   } else if (refused_since_ < 0) {
     refused_since_ = now;
   }
@@ -178,6 +181,11 @@
   return refused_since_ < 0 ? 0 : std::max(now - refused_since_, 1e-3);
 }
 
+double Client::served_ago(double now) const {
+  std::lock_guard lock(mutex_);
+  return now - served_at_;
+}
+
 Found Client::get(const std::string& key) {
   return decode_found(call("GET", "/keys/" + key, nullptr, kLimit));
 }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -101,6 +101,8 @@
 
   // How long all that was answered has been refused; 0 if the last answer was not a refusal.
   double refused_for(double now) const;
+  // How long ago the last answer came that was no refusal.
+  double served_ago(double now) const;
   // What the answers so far tell of when stamps were given.
   Timeline timeline() const;
 
@@ -114,6 +116,7 @@
   mutable std::mutex mutex_;
   Bucket bucket_;
   double refused_since_ = -1;
+  double served_at_ = -1e9;
   Timeline timeline_;
 };
 
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <unordered_map>
 
+#include "quarantine/blame.h"
+
 namespace reachramp::workers {
 
 using placement::Attempt;
@@ -20,8 +22,8 @@
 
 constexpr std::size_t kMostPieces = 2000;
 constexpr std::size_t kMostOrders = 400;
-constexpr double kLongestBackoff = 60;
-constexpr double kAvoidFor = 30;
+// A worker drops an answer that comes later than this.
+constexpr double kAnswerWithin_s = 4;
 
 constexpr std::pair<PieceState, const char*> kStates[] = {{PieceState::fetching, "fetching"},
                                                           {PieceState::waiting, "waiting"},
@@ -83,32 +85,15 @@
   }
 }
 
-// A failed task speaks against the machine if the job has done well elsewhere, or has failed
-// nowhere else; a job that fails wherever it goes was submitted with a mistake and only waits
-// longer each time.
-void blame(Cluster& cluster, Index job_index, Index host_index, double now) {
-  Job& job = *cluster.jobs[job_index];
-  Host& host = *cluster.hosts[host_index];
-  job.failed_on[host_index] = now + kAvoidFor;
-  ++job.failures;
-  const bool job_works = job.done_count > 0;
-  if (job_works || job.failed_on.size() < 3) ++host.faults;
-  if (!job_works && job.failed_on.size() >= 2) {
-    job.not_before = now + std::min(kLongestBackoff, std::ldexp(1.0, std::min(6u, job.failures)));
-  }
-}
-
 void take_exit(Cluster& cluster, Index job_index, Index host_index, const Piece& piece,
                double now) {
   Job& job = *cluster.jobs[job_index];
   Host& host = *cluster.hosts[host_index];
   switch (piece.cause) {
     case Cause::done:
-      host.faults = 0;
       if (job.spec.shape == jobs::Shape::service) {
-        break;  // a replica that ends is started anew
-      }
-      if (job.spec.shape == jobs::Shape::gang) {
+        // a replica that ends is started anew
+      } else if (job.spec.shape == jobs::Shape::gang) {
         // A gang completes together: if one task is done, all are.
         for (std::uint32_t task = 0; task < job.spec.tasks; ++task) {
           cluster.mark_done(job_index, task, now);
@@ -116,10 +101,11 @@
       } else {
         cluster.mark_done(job_index, piece.task, now);
       }
+      quarantine::note_success(cluster, job_index, host_index);
       break;
     case Cause::error:
     case Cause::none:
-      blame(cluster, job_index, host_index, now);
+      quarantine::note_failure(cluster, job_index, host_index, now);
       break;
     case Cause::no_such:
       job.not_before = now + 2;
@@ -181,6 +167,9 @@
   if (attempt->inherited || attempt->seen != seen) cluster.news.insert(found->second);
   // Whoever led when it began to run knew; from its record we know when it was placed.
   const bool ran_before = attempt->inherited && attempt->seen == Seen::nowhere;
+  if (attempt->sent && !attempt->inherited && attempt->seen == Seen::nowhere) {
+    host.unheeded = 0;  // it has taken what we told it
+  }
   attempt->inherited = false;
   attempt->sent = true;
   attempt->seen = seen;
@@ -191,10 +180,33 @@
   if (attempt->seen != Seen::fetching) host.images.insert(job->spec.image);
 }
 
+// A machine whose reports arrive, but which our answers do not reach: what is placed there never
+// appears, its baton does not move, its sessions run out although we answered. Each report may show
+// one such sign; a start that is taken, a baton that moves, or a session that outlasts a lease
+// shows that it does hear us.
+void note_whether_heeded(Cluster& cluster, Host& host, const Report& report, bool new_tenure,
+                         bool was_ours, double now) {
+  const settings::Workers& workers = cluster.platform.workers;
+  const bool answered = now - host.answered_at < workers.lease_s;
+  if (report.baton != cluster.baton) {
+    // The first answer may still be on its way.
+    host.unheeded += answered ? 1 : 0;
+  } else if (!was_ours) {
+    host.unheeded = 0;
+  } else if (new_tenure && now - host.answered_at < workers.lease_s - kAnswerWithin_s) {
+    host.unheeded += kDeafFrom;
+  } else if (host.dropped) {
+    ++host.unheeded;
+  } else if (now - std::max(host.session_at, host.deaf_since) > workers.lease_s + kAnswerWithin_s) {
+    host.unheeded = 0;
+  }
+  if (new_tenure) host.answered_at = -1e9;
+}
+
 // What the absence of an attempt from the report proves.
 void absorb_absence(Cluster& cluster, Index host_index, const TaskRef& ref, Channel channel,
                     bool new_tenure, double now) {
-  const Host& host = *cluster.hosts[host_index];
+  Host& host = *cluster.hosts[host_index];
   Attempt& attempt = cluster.jobs[ref.job]->attempts.at(ref.task);
   if (attempt.inherited) {
     // Not started here in its stead: the records hold attempts that an earlier leader had given up
@@ -207,6 +219,7 @@
     if (channel != Channel::report || host.tick <= attempt.sent_tick) return;
     if (attempt.seen == Seen::nowhere && !attempt.stopping) {
       attempt.sent = false;  // the answer that carried the start was dropped: send it again
+      host.dropped = true;
       return;
     }
   }
@@ -247,19 +260,26 @@
 }
 
 std::optional<Index> absorb(Cluster& cluster, const Report& report, Channel channel, double now) {
+  const bool known = cluster.host_index.contains(report.host);
   const Index index = cluster.add_host(report.host, now);
   cluster.describe_host(index, report.type, report.zone, report.spot);
   Host& host = *cluster.hosts[index];
+  if (!known) host.hearsay = true;
   if (std::pair(report.tenure, report.tick) <= std::pair(host.tenure, host.tick)) {
     return std::nullopt;
   }
   const bool new_tenure = host.tenure != 0 && report.tenure > host.tenure;
   if (new_tenure) spdlog::info("machine {} lost its lease: session {}", host.name, report.tenure);
+  if (report.tenure != host.tenure) host.session_at = now;
   host.tenure = report.tenure;
   host.tick = report.tick;
   host.heard_at = now;
   if (!report.address.empty()) host.address = report.address;
-  if (report.baton == cluster.baton) host.ours = true;
+  const bool was_ours = host.ours;
+  if (report.baton == cluster.baton) {
+    host.ours = true;
+    host.hearsay = false;
+  }
   if (host.phase == HostPhase::booting) {
     host.phase = HostPhase::up;
     host.idle_since = now;
@@ -272,11 +292,17 @@
 
   host.exited.clear();
   host.strangers.clear();
+  host.dropped = false;
   // A report without our baton may be of any age: held back by a cut since long before we led, it
   // can list as exited, or lack, what an earlier leader has started again since (a simulated
   // cluster ran a task twice that way). It shows that the machine lives; the next one, which
   // carries our baton, shows what is on it.
-  if (report.baton != cluster.baton) return index;
+  if (report.baton != cluster.baton) {
+    if (channel == Channel::report) {
+      note_whether_heeded(cluster, host, report, new_tenure, was_ours, now);
+    }
+    return index;
+  }
   const std::set<TaskRef> before = host.attempts;
   std::unordered_map<std::string, std::uint64_t> listed;
   for (const Piece& piece : report.pieces) {
@@ -290,6 +316,9 @@
     if (at != listed.end() && at->second == job.attempts.at(ref.task).number) continue;
     absorb_absence(cluster, index, ref, channel, new_tenure, now);
   }
+  if (channel == Channel::report) {
+    note_whether_heeded(cluster, host, report, new_tenure, was_ours, now);
+  }
   return index;
 }
 
@@ -334,7 +363,7 @@
       continue;
     }
     if (attempt.seen != Seen::nowhere || !attempt.durable || attempt.inherited || attempt.sent ||
-        !may_start) {
+        !may_start || host.deaf_since >= 0) {
       continue;
     }
     orders.push_back({Verb::start, job.spec.id, ref.task, attempt.number, 0});
@@ -342,6 +371,7 @@
     attempt.sent_tick = host.tick;
   }
   for (const TaskRef& ref : unsent) cluster.end_attempt(ref.job, ref.task, now);
+  host.answered_at = now;
   return orders;
 }
 
--- a/src/workers/report.h
+++ b/src/workers/report.h
@@ -55,6 +55,9 @@
 // latter may have been written while that answer was still on its way.
 enum class Channel { report, direct };
 
+// Signs in a row from which a machine counts as one that our answers do not reach.
+inline constexpr std::uint32_t kDeafFrom = 2;
+
 // Takes in what a report proves. Returns the host, or nothing if the report is older than what is
 // known already.
 std::optional<Index> absorb(Cluster& cluster, const Report& report, Channel channel, double now);
