--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -7,6 +7,7 @@
 #include "controller/stale.h"
 #include "pipelines/needs.h"
 #include "placement/plan.h"
+#include "placement/waits.h"
 
 namespace reachramp::controller {
 
@@ -39,7 +40,8 @@
 // and the time in which nobody led.
 constexpr double kTellTimeline_s = 5;
 constexpr double kTellShares_s = 60;
-constexpr double kFirstShares_s = 5;  // after taking over, when most machines have been heard
+constexpr std::size_t kTellWaiting = 3;  // of the jobs that wait longest, each with its reason
+constexpr double kFirstShares_s = 5;     // after taking over, when most machines have been heard
 constexpr double kStoreShares_s = 30;
 constexpr double kPassShares_s = 1;
 
@@ -386,6 +388,10 @@
   if (now - told_shares_at_ >= kTellShares_s) {
     told_shares_at_ = now;
     spdlog::info("served: {}", shares::describe(accounts_.report(cluster_, now)));
+    for (const Index job : placement::longest_waiting(cluster_, kTellWaiting, now)) {
+      spdlog::info("job {} waits after {:.0f} s: {}", cluster_.jobs[job]->spec.id,
+                   now - cluster_.jobs[job]->freed_at, placement::why_waits(cluster_, job, now));
+    }
   }
   if (!levels::has(level_, levels::kShares) || shares_unreadable_ ||
       now - stored_shares_at_ < kStoreShares_s || cluster_.job_index.empty()) {
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "placement/openings.h"
 #include "placement/order.h"
@@ -19,6 +20,11 @@
 // A gang waits so long behind its own team's limit before the team's arrays give way.
 constexpr double kGiveWayAfter_s = 30;
 constexpr Usage kNothing{};
+// The users expect first tasks within four minutes of a job's acceptance. Room must still come, and
+// a change of leaders may lie between.
+constexpr double kBeginWithin_s = 120;
+// Work that has waited so long is served whether or not it can still be in time.
+constexpr double kServeWithin_s = 240;
 
 // For a job that must stay in one zone and has not begun: the zone that holds most of it.
 Index best_zone(const Cluster& cluster, const Job& job, const std::vector<Index>& hosts) {
@@ -35,11 +41,11 @@
 
 // Room too small for the job's tasks is kept from all that come after it, where it may grow: tasks
 // of one core took every core as it came free, and tasks of two cores that went before them waited
-// two minutes for a machine with two.
-void keep_growing_room(const Cluster& cluster, const Job& job, Openings& open) {
+// two minutes for a machine with two. On so many machines at most.
+void keep_growing_room(const Cluster& cluster, const Job& job, std::size_t most, Openings& open) {
   if (!cluster.within_limit(job, 1)) return;
   std::size_t missing = job.spec.tasks - job.done_count;
-  missing -= std::min(missing, job.attempts.size());
+  missing = std::min(most, missing - std::min(missing, job.attempts.size()));
   std::vector<Index> growing = open.growing(job);
   std::stable_sort(growing.begin(), growing.end(), [&](Index a, Index b) {
     return cluster.hosts[a]->free.cpus > cluster.hosts[b]->free.cpus;
@@ -94,13 +100,16 @@
   return kept;
 }
 
-int place_array(Cluster& cluster, Index index, Openings& open, const Usage& kept, double now) {
+int place_array(Cluster& cluster, Index index, Openings& open, const Usage& kept, double now,
+                int most = std::numeric_limits<int>::max()) {
   Job& job = *cluster.jobs[index];
   std::uint32_t task = cluster.next_pending(job, 0);
   if (task == job.spec.tasks) return 0;
   // What fails everywhere is tried one by one: a broken array of hundreds took all room each time.
-  const bool alone = job.suspect();
-  if (alone && !job.attempts.empty()) return 0;
+  if (job.suspect()) {
+    if (!job.attempts.empty()) return 0;
+    most = std::min(most, 1);
+  }
   std::vector<Index> hosts = open.candidates(job);
   if (hosts.empty()) return 0;
   auto in_use = zones_in_use(cluster, job);
@@ -120,7 +129,7 @@
       cluster.place(index, task, attempt, host, now);
       ++placed;
       task = cluster.next_pending(job, task + 1);
-      if (alone) return placed;
+      if (placed >= most) return placed;
     }
   }
   return placed;
@@ -180,6 +189,67 @@
   return static_cast<int>(wanted);
 }
 
+// Whether any of it was ever placed; an earlier leader's records tell as well.
+bool has_begun(const Job& job) {
+  return job.done_count > 0 || !job.attempts.empty() || job.last_attempt > 0;
+}
+
+// Whoever has waited longest, whatever the rank: the users' days fail where a class's largest jobs
+// are not served, and the order of service, which counts jobs in time, puts those last.
+std::vector<Index> long_waiting(const Cluster& cluster, const Service& service, double now) {
+  std::vector<Index> found;
+  for (const Index index : service.order) {
+    const Job& job = *cluster.jobs[index];
+    const double waited = now - job.freed_at;
+    if (!job.suspect() && now >= job.not_before &&
+        waited > (has_begun(job) ? kServeWithin_s : kBeginWithin_s)) {
+      found.push_back(index);
+    }
+  }
+  std::stable_sort(found.begin(), found.end(), [&](Index a, Index b) {
+    return cluster.jobs[a]->freed_at < cluster.jobs[b]->freed_at;
+  });
+  return found;
+}
+
+// Those get a part of the machines before all others, and what has not begun at least its first
+// task.
+int place_long_waiting(Cluster& cluster, const Service& service, Openings& open, double share,
+                       double now) {
+  const std::vector<Index> waiting = long_waiting(cluster, service, now);
+  if (waiting.empty() || share <= 0) return 0;  // as in most plans
+  double room = 0;
+  for (const auto& host : cluster.hosts) {
+    if (host && usable(cluster, *host, now)) room += share * cluster.type_of(*host)->cpus;
+  }
+  for (const Index index : waiting) {
+    const Job& job = *cluster.jobs[index];
+    room -= job.need.cpus * static_cast<double>(job.attempts.size());
+  }
+  int placed = 0;
+  for (const Index index : waiting) {
+    const Job& job = *cluster.jobs[index];
+    const bool begun = has_begun(job);
+    const auto fits = [&](double tasks) { return !begun || job.need.cpus * tasks <= room; };
+    int more = 0;
+    if (job.spec.shape == jobs::Shape::gang) {
+      if (fits(job.spec.tasks)) more = place_gang(cluster, index, open, kNothing, now);
+    } else if (fits(1)) {
+      const double tasks = job.need.cpus > 0 ? room / job.need.cpus : job.spec.tasks;
+      more = place_array(cluster, index, open, kNothing, now,
+                         static_cast<int>(std::clamp<double>(tasks, 1, job.spec.tasks)));
+      if (more == 0 && !begun) keep_growing_room(cluster, job, 1, open);
+    }
+    if (more > 0 && !begun) {
+      spdlog::info("job {}: begins after {:.1f} s, before its turn", job.spec.id,
+                   now - job.freed_at);
+    }
+    room -= job.need.cpus * more;
+    placed += more;
+  }
+  return placed;
+}
+
 // A gang that lost a task cannot go on: the rest is stopped and a new attempt begins once all of
 // it is gone. Returns whether that freed room.
 bool stop_broken_gang(Cluster& cluster, Index index) {
@@ -262,16 +332,18 @@
   return host.lent;
 }
 
-int plan(Cluster& cluster, double now, const Gate& gate) {
+int plan(Cluster& cluster, double now, const Gate& gate, double share_of_waiting) {
   cluster.keep_for_large(now);
   heed_notices(cluster, now);
   Openings open(cluster, now);
   int placed = 0;
   const Service service = service_order(cluster, now);
   const std::vector<Kept> kept = kept_for_gangs(cluster, service, open, now);
+  placed += place_long_waiting(cluster, service, open, share_of_waiting, now);
   for (const Index index : service.order) {
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
+    const bool begun = has_begun(job);
     if (gang && stop_broken_gang(cluster, index)) open.grown();
     if (now < job.not_before) continue;
     const bool owner = service.guaranteed[index] || kept[job.team].gang == index;
@@ -279,8 +351,11 @@
     const int more = gang ? place_gang(cluster, index, open, left, now)
                           : place_array(cluster, index, open, left, now);
     placed += more;
+    if (more > 0 && !begun) {
+      spdlog::info("job {}: begins after {:.1f} s", job.spec.id, now - job.freed_at);
+    }
     if (!gang && !job.suspect() && cluster.next_pending(job, 0) < job.spec.tasks) {
-      keep_growing_room(cluster, job, open);
+      keep_growing_room(cluster, job, job.spec.tasks, open);
     }
     if (more > 0 && cluster.next_pending(job, 0) == job.spec.tasks) {
       spdlog::info("job {}: all tasks placed after {:.1f} s", job.spec.id, now - job.freed_at);
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -21,8 +21,12 @@
 // wait. Once: if none takes it, or when they are through, it does go back.
 bool lend(Cluster& cluster, Index host);
 
+// Of the usable machines' cores, what those that have waited longest get before all others.
+inline constexpr double kShareOfWaiting = 0.25;
+
 // Places what fits, marks machines to be drained, stops what must leave them. Returns how many
 // attempts were placed.
-int plan(Cluster& cluster, double now, const Gate& gate = {});
+int plan(Cluster& cluster, double now, const Gate& gate = {},
+         double share_of_waiting = kShareOfWaiting);
 
 }  // namespace reachramp::placement
--- /dev/null
+++ b/src/placement/waits.cpp
@@ -0,0 +1,87 @@
+#include "placement/waits.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+#include "placement/plan.h"
+
+namespace reachramp::placement {
+
+namespace {
+
+bool is_placed(const Job& job) { return job.attempts.size() + job.done_count >= job.spec.tasks; }
+
+std::string why_not_running(const Cluster& cluster, const Job& job) {
+  for (const auto& [task, attempt] : job.attempts) {
+    if (job.done[task] || attempt.seen == Seen::running) continue;
+    const Host& host = *cluster.hosts[attempt.host];
+    const std::string where = fmt::format("task {} on {}", task, host.name);
+    if (attempt.stopping) return where + " is to stop first";
+    if (attempt.inherited) return where + ": an earlier leader's, its machine is not heard yet";
+    if (!attempt.durable) return where + ": its record is not stored yet";
+    if (attempt.seen == Seen::nowhere) return where + ": the start is not answered yet";
+    return where + " fetches its image, waits for its gang or saves";
+  }
+  return "all of it runs";
+}
+
+}  // namespace
+
+std::vector<Index> longest_waiting(const Cluster& cluster, std::size_t most, double now) {
+  std::vector<Index> found;
+  for (Index i = 0; i < cluster.jobs.size(); ++i) {
+    const auto& job = cluster.jobs[i];
+    if (job && !job->cancelled && !job->over() && !is_placed(*job) && job->freed_at < now) {
+      found.push_back(i);
+    }
+  }
+  const auto end = found.begin() + static_cast<std::ptrdiff_t>(std::min(most, found.size()));
+  std::partial_sort(found.begin(), end, found.end(), [&](Index a, Index b) {
+    return cluster.jobs[a]->freed_at < cluster.jobs[b]->freed_at;
+  });
+  found.erase(end, found.end());
+  return found;
+}
+
+std::string why_waits(Cluster& cluster, Index index, double now) {
+  Job& job = *cluster.jobs[index];
+  if (job.cancelled) return "it is cancelled, and its tasks are to be gone";
+  for (const Need& need : job.needs) {
+    if (need.fate != Fate::done) return "for " + need.id;
+  }
+  if (is_placed(job)) return why_not_running(cluster, job);
+  if (job.team == kNone) return "no such team: " + job.spec.team;
+  if (std::none_of(job.fits.begin(), job.fits.end(), [](bool fits) { return fits; })) {
+    return "no machine type of the cloud's holds a task of it";
+  }
+  if (now < job.not_before) {
+    return fmt::format("tried again in {:.0f} s: it failed on {} machines", job.not_before - now,
+                       job.failed_on.size());
+  }
+  const bool gang = job.spec.shape == jobs::Shape::gang;
+  const double wanted = gang ? job.spec.tasks - static_cast<double>(job.attempts.size()) : 1;
+  if (!cluster.within_limit(job, wanted)) return "its team's limit: " + job.spec.team;
+  int up = 0, open = 0, room = 0;
+  for (const auto& host : cluster.hosts) {
+    if (!host || host->type == kNone || !usable(cluster, *host, now)) continue;
+    if (!in_zone(job, host->zone) || !job.fits[host->type] || (host->spot && !job.spec.spot)) {
+      continue;
+    }
+    ++up;
+    if (!allows(cluster, job, *host)) continue;
+    ++open;
+    room += static_cast<int>(host->free.copies(job.need));
+  }
+  if (up == 0) return "no machine that it may run on is up";
+  if (open == 0) return fmt::format("{} machines are kept for larger tasks", up);
+  if (room < wanted) return fmt::format("{} machines have room for {} tasks", open, room);
+  const std::uint32_t task = cluster.next_pending(job, 0);
+  for (Index host = 0; !gang && host < cluster.hosts.size(); ++host) {
+    if (cluster.hosts[host] && cluster.has_room(index, task, job.last_attempt + 1, host)) break;
+    if (host + 1 == cluster.hosts.size()) return "its records are full until some tasks have ended";
+  }
+  return fmt::format("room for {} tasks is kept for others, or not together", room);
+}
+
+}  // namespace reachramp::placement
--- /dev/null
+++ b/src/placement/waits_test.cpp
@@ -0,0 +1,156 @@
+// Who waits, and how long: scarce worlds played with and without the part of the machines that goes
+// to those that have waited longest.
+#include "placement/waits.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <map>
+#include <random>
+
+#include "machines.h"
+#include "placement/plan.h"
+
+namespace reachramp::placement {
+namespace {
+
+constexpr std::uint32_t kMachines = 30;  // of four cores
+constexpr double kDay_s = 700;
+
+struct Served {
+  int came = 0, in_time = 0, largest = 0, largest_done = 0;
+  double latest_begin_s = 0;
+};
+
+// Arrays of 1 to 400 tasks of ten seconds come a quarter faster than the machines can serve them,
+// of two teams and two priorities; a job is expected within 100 s.
+Served play(unsigned seed, double share) {
+  settings::Platform platform;
+  platform.teams = {{"red", 40, 0, 0, 0}, {"blue", 0, 0, 0, 0}};
+  settings::Objective finished;
+  finished.kind = settings::Objective::Kind::finished;
+  finished.job_class = "c";
+  finished.within_s = 100;
+  platform.objectives = {finished};
+  Cluster cluster(platform, 1, jobs::Format::compact);
+  cluster.set_catalog({{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
+  for (std::uint32_t i = 0; i < kMachines; ++i) test::add_machine(cluster, "small", "a", true);
+  std::mt19937 random(seed);
+  std::lognormal_distribution<double> size(3.0, 1.4);
+  std::map<std::string, double> came, began, ended;
+  std::map<std::string, std::uint32_t> tasks;
+  double owed = 0;
+  int made = 0;
+  for (double now = 0; now < kDay_s; now += 1) {
+    for (auto& host : cluster.hosts) host->heard_at = now;
+    // New work while the day has time left to serve it.
+    for (owed += 4 * kMachines * 1.25 / 10; now < kDay_s - 250 && owed > 0;) {
+      jobs::Header header;
+      header.spec.id = "j-" + std::to_string(made++);
+      header.spec.job_class = "c";
+      header.spec.team = random() % 2 == 0 ? "red" : "blue";
+      header.spec.priority = random() % 4 == 0 ? jobs::Priority::high : jobs::Priority::normal;
+      header.spec.tasks = static_cast<std::uint32_t>(std::clamp(size(random), 1.0, 400.0));
+      header.spec.cpus = 1;
+      header.spec.spot = true;
+      header.spec.estimate_s = 10;
+      cluster.add_job(header, static_cast<std::uint64_t>(made), now);
+      came[header.spec.id] = now;
+      tasks[header.spec.id] = header.spec.tasks;
+      owed -= header.spec.tasks;
+    }
+    plan(cluster, now, {}, share);
+    for (Index index = 0; index < cluster.jobs.size(); ++index) {
+      if (!cluster.jobs[index]) continue;
+      Job& job = *cluster.jobs[index];
+      std::vector<std::uint32_t> through;
+      for (const auto& [task, attempt] : job.attempts) {
+        began.try_emplace(job.spec.id, now);
+        if (now - attempt.placed_at >= 9) through.push_back(task);
+      }
+      for (const std::uint32_t task : through) {
+        cluster.mark_done(index, task, now);
+        cluster.end_attempt(index, task, now);
+      }
+      if (job.complete()) {
+        ended[job.spec.id] = now;
+        cluster.remove_job(index);
+      }
+    }
+  }
+  std::vector<std::uint32_t> sizes;
+  for (const auto& [id, count] : tasks) sizes.push_back(count);
+  std::sort(sizes.begin(), sizes.end());
+  Served served;
+  for (const auto& [id, at] : came) {
+    ++served.came;
+    const bool done = ended.contains(id);
+    served.in_time += done && ended[id] - at <= 100 ? 1 : 0;
+    if (tasks[id] >= sizes[sizes.size() * 3 / 4]) {
+      ++served.largest;
+      served.largest_done += done ? 1 : 0;
+    }
+    const double begin = began.contains(id) ? began[id] : kDay_s;
+    served.latest_begin_s = std::max(served.latest_begin_s, begin - at);
+  }
+  return served;
+}
+
+TEST(Waits, TheLargestBeginWithinFourMinutesAndHalfAreServed) {
+  Served sums[2];
+  for (unsigned seed = 1; seed <= 8; ++seed) {
+    for (const bool with : {false, true}) {
+      const Served one = play(seed, with ? kShareOfWaiting : 0);
+      Served& sum = sums[with];
+      sum.came += one.came;
+      sum.in_time += one.in_time;
+      sum.largest += one.largest;
+      sum.largest_done += one.largest_done;
+      sum.latest_begin_s = std::max(sum.latest_begin_s, one.latest_begin_s);
+      if (!with) continue;
+      EXPECT_LT(one.latest_begin_s, 240) << seed;
+      EXPECT_GE(one.largest_done * 2, one.largest) << seed;
+    }
+  }
+  for (const bool with : {false, true}) {
+    const Served& sum = sums[with];
+    std::cout << (with ? "with" : "without") << " a part for the longest waiting: " << sum.in_time
+              << " of " << sum.came << " jobs in time, " << sum.largest_done << " of "
+              << sum.largest << " largest done, first tasks within " << sum.latest_begin_s
+              << " s\n";
+  }
+  EXPECT_GT(sums[0].latest_begin_s, 240) << "else these worlds show nothing";
+  EXPECT_GE(sums[1].in_time, sums[0].in_time * 0.9);
+}
+
+// Every job that waits says why.
+TEST(Waits, EachHasAReason) {
+  settings::Platform platform;
+  platform.teams = {{"red", 0, 2, 0, 0}, {"blue", 0, 0, 0, 0}};
+  Cluster cluster(platform, 1, jobs::Format::compact);
+  cluster.set_catalog({{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a", "b"}}});
+  const auto add = [&](const std::string& team, std::uint32_t tasks) -> Index {
+    jobs::Header header;
+    header.spec.id = "j-" + std::to_string(cluster.jobs.size());
+    header.spec.team = team;
+    header.spec.tasks = tasks;
+    header.spec.cpus = 1;
+    header.spec.spot = true;
+    return cluster.add_job(header, 1, 0);
+  };
+  const Index limited = add("red", 5);
+  const Index first = add("blue", 2);
+  const Index second = add("blue", 9);
+  EXPECT_EQ(why_waits(cluster, first, 1), "no machine that it may run on is up");
+  test::add_machine(cluster, "small", "a", true);
+  plan(cluster, 1);
+  EXPECT_EQ(why_waits(cluster, limited, 1), "its team's limit: red");
+  EXPECT_EQ(why_waits(cluster, first, 1), "task 0 on n-0: its record is not stored yet");
+  EXPECT_EQ(why_waits(cluster, second, 1), "1 machines have room for 0 tasks");
+  cluster.jobs[second]->not_before = 5;
+  EXPECT_EQ(why_waits(cluster, second, 1), "tried again in 4 s: it failed on 0 machines");
+  EXPECT_EQ(longest_waiting(cluster, 5, 1).size(), 2u);
+}
+
+}  // namespace
+}  // namespace reachramp::placement
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -1,13 +1,15 @@
 // A simulated cluster round the leader's decisions: messages are lost, repeated late and reordered,
 // transactions are applied late, machines die, sessions end, leaders change, users cancel, jobs
-// wait for others. At first nodes are changed one by one from version 0.2.0, whose records the
-// leader keeps to meanwhile, and some time later the state service lowers its limits. Then they are
-// changed on, over the levels of the stored state: each node's process speaks some levels and
-// claims so for as long as it lives; processes die, come back as older ones, hold the fleet back;
-// claims outlive them, and a process that is back at once goes on with its predecessor's claim and
-// ends its lead. Operators drain machines and take it back. Whatever happens, the rules hold, and
-// nobody who knows of levels writes a form that is older than the present one; when the trouble
-// ends, all work is done and the last step is settled.
+// wait for others. Copies of reports come much later; machines hear nothing for a while though
+// their reports arrive, and are back under their names with new workers. At first nodes are changed
+// one by one from version 0.2.0, whose records the leader keeps to meanwhile, and some time later
+// the state service lowers its limits. Then they are changed on, over the levels of the stored
+// state: each node's process speaks some levels and claims so for as long as it lives; processes
+// die, come back as older ones, hold the fleet back; claims outlive them, and a process that is
+// back at once goes on with its predecessor's claim and ends its lead. Operators drain machines and
+// take it back. Whatever happens, the rules hold, and nobody who knows of levels writes a form that
+// is older than the present one; when the trouble ends, all work is done and the last step is
+// settled.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -63,6 +65,8 @@
   std::map<std::pair<std::string, std::uint64_t>, SimPiece> pieces;  // (job/task, try)
   std::optional<std::uint64_t> awaiting;                             // tick of the report in flight
   double give_up_at = 0;
+  double deaf_until = 0;  // its reports arrive, answers and commands do not
+  int life = 0;           // it may be back at once under its name, with a new worker
 };
 
 // A controller node, as far as the levels go: version 0.3.0 speaks two and claims nothing.
@@ -137,6 +141,7 @@
   void calm() {
     calm_ = true;
     calm_at_ = now_;
+    for (auto& [name, machine] : machines_) machine.deaf_until = 0;
     for (Node& node : nodes_) {
       node.hold_at = 0;
       node.newest = levels::kNewest;
@@ -359,6 +364,7 @@
     const auto at = machines_.find(address);
     if (at == machines_.end() || !alive(at->second)) return;
     Machine& machine = at->second;
+    if (now_ < machine.deaf_until) return;
     if (body.at("baton").get<std::uint64_t>() < machine.baton ||
         body.at("tenure").get<std::uint64_t>() != machine.tenure) {
       return;
@@ -634,6 +640,15 @@
       machine.dead_at = now_;
       return;
     }
+    if (chance(0.0004)) machine.deaf_until = now_ + between(3, 60);
+    if (chance(0.0003)) {
+      machine.pieces.clear();
+      machine.tenure = 1;
+      machine.tick = machine.baton = 0;
+      machine.leased_at = now_;
+      machine.awaiting.reset();
+      ++machine.life;
+    }
     if (now_ - machine.leased_at > platform_.workers.lease_s) {
       machine.pieces.clear();
       ++machine.tenure;
@@ -656,7 +671,17 @@
     const double sent_at = now_;
     const workers::Report report =
         workers::decode_report(wire::decode_map(wire::encode(report_of(machine))));
-    later(delay(), [this, name, report, sent_at] { receive(name, report, sent_at); });
+    const int life = machine.life;
+    later(delay(), [this, name, life, report, sent_at] { receive(name, life, report, sent_at); });
+    // Copies come from seconds to well over a lease later; their answers reach nobody.
+    while (chance(0.05)) {
+      later(between(1, 30), [this, report] {
+        Leader* to = former_ && chance(0.5) ? former_.get() : leader_.get();
+        if (to != nullptr)
+          to->on_report(
+              report, [](const Json&) {}, now_);
+      });
+    }
   }
 
   // Gangs complete together: if one task is done, all are.
@@ -690,16 +715,17 @@
             {"pieces", std::move(pieces)}};
   }
 
-  void receive(const std::string& name, const workers::Report& report, double sent_at) {
+  void receive(const std::string& name, int life, const workers::Report& report, double sent_at) {
     // A former leader that has not noticed yet still gets some reports.
     Leader* to = former_ && chance(0.5) ? former_.get() : leader_.get();
     if (to == nullptr) return;
     const bool accepted = to->on_report(
         report,
-        [this, name, report, sent_at](const Json& body) {
+        [this, name, life, report, sent_at](const Json& body) {
           if (chance(0.04)) return;
-          later(delay(),
-                [this, name, report, sent_at, body] { execute(name, report, sent_at, body); });
+          later(delay(), [this, name, life, report, sent_at, body] {
+            execute(name, life, report, sent_at, body);
+          });
         },
         now_);
     if (to == former_.get()) {
@@ -708,12 +734,15 @@
     }
   }
 
-  void execute(const std::string& name, const workers::Report& report, double sent_at,
+  void execute(const std::string& name, int life, const workers::Report& report, double sent_at,
                const Json& body) {
     const auto at = machines_.find(name);
     if (at == machines_.end() || !alive(at->second)) return;
     Machine& machine = at->second;
-    if (machine.awaiting != report.tick || machine.tenure != report.tenure) return;
+    if (machine.awaiting != report.tick || machine.tenure != report.tenure ||
+        machine.life != life || now_ < machine.deaf_until) {
+      return;
+    }
     machine.awaiting.reset();
     const auto baton = body.at("baton").get<std::uint64_t>();
     if (baton < machine.baton) return;
