--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -17,8 +17,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto kReportLimit = 3s;
-// Less than the 4 s that a worker waits.
-constexpr double kCarryFor_s = 2.5;
+// Less than the 4 s that a worker waits, and long enough for a silent leader to be replaced.
+constexpr double kCarryFor_s = 3.4;
 constexpr double kCarryAgain_s = 0.5;
 constexpr double kOwnerTick_s = 0.1;
 constexpr auto kFollowFor = 1000ms;
@@ -134,10 +134,9 @@
     const leadership::Standing standing = campaign_.standing();
     if (standing.baton != 0) return ask_owner(standing.baton, report);
     if (origin == Origin::relay || standing.cut_off) break;
-    const double now = steady_now();
     const bool detour = origin == Origin::worker;
     if (!standing.leader.empty() && standing.leader != platform_.node_name) {
-      if (auto answer = relay_.carry(standing.leader, message, detour, now)) return *answer;
+      if (auto answer = relay_.carry(standing.leader, message, detour, give_up)) return *answer;
     }
     // A leader that has just died is replaced well within the time that a worker waits for an
     // answer. Turned away, it would try the next node, which may be gone as well: workers lost
@@ -494,7 +493,8 @@
         catalog_at = now - kCatalogEvery_s + 2;
       }
     }
-    // After standing still it may be another's: nothing is rented or returned on a view from before.
+    // After standing still it may be another's: nothing is rented or returned on a view from
+    // before.
     if (!waiting.empty() && campaign_.is_sure_of(baton)) {
       const CloudWork work = next_work(waiting);
       cloud_turn();
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 
+#include "state/clock.h"
+
 namespace reachramp::peers {
 
 namespace {
 
-// Twice this, on a detour, is still less than a worker waits.
-constexpr auto kLimit = std::chrono::milliseconds(1500);
+// The leader answers within a second or so. A detour tells at once, or the third node has no way
+// either.
+constexpr double kLimit_s = 1.5;
+constexpr double kDetourLimit_s = 0.7;
 constexpr double kCutOffFor_s = 4;
 // A change of leaders sets all workers' reports going at once. Without a descriptor for it, one
 // would take the leader for cut off; and all nodes together must leave the leader half of the
@@ -60,27 +64,36 @@
   return at != cut_off_until_.end() && now < at->second;
 }
 
+// Cuts hang: whoever has met one does not wait for it again with every report, be it on the way to
+// the leader or on a detour. A machine without power on the detour cost workers their leases: their
+// report had no answer in time, and the node that they tried next was the dead one.
+std::optional<wire::Reply> Relay::by_way_of(const std::string& node, const char* path,
+                                            const wire::Json& report, double limit_s,
+                                            double until) {
+  const double now = state::steady_now();
+  const double limit = std::min(limit_s, until - now);
+  if (limit <= 0 || cut_off(node, now)) return std::nullopt;
+  const wire::Answer answer = clients_.at(node)->call(
+      "POST", path, &report, std::chrono::milliseconds(static_cast<int>(limit * 1000)));
+  if (answer.status == 200) return wire::Reply{200, answer.body};
+  if (!answer.answered && limit == limit_s) {
+    std::lock_guard lock(mutex_);
+    cut_off_until_[node] = now + kCutOffFor_s;
+  }
+  return std::nullopt;
+}
+
 std::optional<wire::Reply> Relay::carry(const std::string& leader, const wire::Json& report,
-                                        bool detour, double now) {
-  const auto client = clients_.find(leader);
-  if (client == clients_.end()) return std::nullopt;
+                                        bool detour, double until) {
+  if (!clients_.contains(leader)) return std::nullopt;
   const Slot slot(*this);
   if (!slot.taken()) return std::nullopt;
-  if (!cut_off(leader, now)) {
-    const wire::Answer answer = client->second->call("POST", kRelayPath, &report, kLimit);
-    if (answer.status == 200) return wire::Reply{200, answer.body};
-    // Cuts hang: whoever has met one does not wait for it again with every report.
-    if (!answer.answered) {
-      std::lock_guard lock(mutex_);
-      cut_off_until_[leader] = now + kCutOffFor_s;
-    }
-  }
+  auto answer = by_way_of(leader, kRelayPath, report, kLimit_s, until);
   for (const auto& [name, other] : clients_) {
-    if (!detour || name == leader) continue;
-    const wire::Answer answer = other->call("POST", kOnwardPath, &report, kLimit);
-    if (answer.status == 200) return wire::Reply{200, answer.body};
+    if (answer || !detour) break;
+    if (name != leader) answer = by_way_of(name, kOnwardPath, report, kDetourLimit_s, until);
   }
-  return std::nullopt;
+  return answer;
 }
 
 }  // namespace reachramp::peers
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -21,14 +21,16 @@
  public:
   explicit Relay(const settings::Platform& platform);
 
-  // The leader's response, or nothing if it cannot be had: straight from the leader or, if that
-  // fails and `detour` is allowed, through another node.
+  // The leader's response, or nothing if it cannot be had before `until` (steady seconds): straight
+  // from the leader or, if that fails and `detour` is allowed, through another node.
   std::optional<wire::Reply> carry(const std::string& leader, const wire::Json& report, bool detour,
-                                   double now);
+                                   double until);
 
  private:
   class Slot;
 
+  std::optional<wire::Reply> by_way_of(const std::string& node, const char* path,
+                                       const wire::Json& report, double limit_s, double until);
   bool cut_off(const std::string& leader, double now);
 
   std::map<std::string, std::unique_ptr<wire::Client>> clients_;
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 #include "placement/openings.h"
@@ -194,57 +195,67 @@
   return job.done_count > 0 || !job.attempts.empty() || job.last_attempt > 0;
 }
 
-// Whoever has waited longest, whatever the rank: the users' days fail where a class's largest jobs
-// are not served, and the order of service, which counts jobs in time, puts those last.
-std::vector<Index> long_waiting(const Cluster& cluster, const Service& service, double now) {
+// Jobs that have waited for so long, the longest first; of those that have begun, none unless told.
+std::vector<Index> long_waiting(const Cluster& cluster, std::vector<Index>::const_iterator begin,
+                                std::vector<Index>::const_iterator end, double longer_than_s,
+                                bool begun, double now) {
   std::vector<Index> found;
-  for (const Index index : service.order) {
+  std::copy_if(begin, end, std::back_inserter(found), [&](Index index) {
     const Job& job = *cluster.jobs[index];
-    const double waited = now - job.freed_at;
-    if (!job.suspect() && now >= job.not_before &&
-        waited > (has_begun(job) ? kServeWithin_s : kBeginWithin_s)) {
-      found.push_back(index);
-    }
-  }
+    return !job.suspect() && now >= job.not_before && now - job.freed_at > longer_than_s &&
+           (begun || !has_begun(job));
+  });
   std::stable_sort(found.begin(), found.end(), [&](Index a, Index b) {
     return cluster.jobs[a]->freed_at < cluster.jobs[b]->freed_at;
   });
   return found;
 }
 
-// Those get a part of the machines before all others, and what has not begun at least its first
-// task.
-int place_long_waiting(Cluster& cluster, const Service& service, Openings& open, double share,
-                       double now) {
-  const std::vector<Index> waiting = long_waiting(cluster, service, now);
-  if (waiting.empty() || share <= 0) return 0;  // as in most plans
-  double room = 0;
-  for (const auto& host : cluster.hosts) {
-    if (host && usable(cluster, *host, now)) room += share * cluster.type_of(*host)->cpus;
+// The first task, or the gang, of each job that has waited long for it, whatever its rank: the
+// users expect that within four minutes, and the order of service, which counts jobs in time, puts
+// the largest last.
+int place_firsts(Cluster& cluster, const Service& service, Openings& open, double now) {
+  int placed = 0;
+  for (const Index index : long_waiting(cluster, service.order.begin(), service.order.end(),
+                                        kBeginWithin_s, false, now)) {
+    const Job& job = *cluster.jobs[index];
+    const int more = job.spec.shape == jobs::Shape::gang
+                         ? place_gang(cluster, index, open, kNothing, now)
+                         : place_array(cluster, index, open, kNothing, now, 1);
+    if (more > 0) {
+      spdlog::info("job {}: begins after {:.1f} s, before its turn", job.spec.id,
+                   now - job.freed_at);
+    } else if (job.spec.shape != jobs::Shape::gang) {
+      keep_growing_room(cluster, job, 1, open);
+    }
+    placed += more;
   }
+  return placed;
+}
+
+// Of jobs of one rank, those that have waited longest get a part of the machines before all others.
+// Not before those of a higher rank: a guest's idle batch took a quarter of the machines from
+// guaranteed work.
+int place_long_waiting(Cluster& cluster, std::vector<Index>::const_iterator begin,
+                       std::vector<Index>::const_iterator end, Openings& open, double cores,
+                       double now) {
+  const std::vector<Index> waiting = long_waiting(cluster, begin, end, kServeWithin_s, true, now);
   for (const Index index : waiting) {
     const Job& job = *cluster.jobs[index];
-    room -= job.need.cpus * static_cast<double>(job.attempts.size());
+    cores -= job.need.cpus * static_cast<double>(job.attempts.size());
   }
   int placed = 0;
   for (const Index index : waiting) {
     const Job& job = *cluster.jobs[index];
-    const bool begun = has_begun(job);
-    const auto fits = [&](double tasks) { return !begun || job.need.cpus * tasks <= room; };
+    const double tasks = job.need.cpus > 0 ? cores / job.need.cpus : job.spec.tasks;
     int more = 0;
     if (job.spec.shape == jobs::Shape::gang) {
-      if (fits(job.spec.tasks)) more = place_gang(cluster, index, open, kNothing, now);
-    } else if (fits(1)) {
-      const double tasks = job.need.cpus > 0 ? room / job.need.cpus : job.spec.tasks;
+      if (tasks >= job.spec.tasks) more = place_gang(cluster, index, open, kNothing, now);
+    } else if (tasks >= 1) {
       more = place_array(cluster, index, open, kNothing, now,
-                         static_cast<int>(std::clamp<double>(tasks, 1, job.spec.tasks)));
-      if (more == 0 && !begun) keep_growing_room(cluster, job, 1, open);
+                         static_cast<int>(std::min<double>(tasks, job.spec.tasks)));
     }
-    if (more > 0 && !begun) {
-      spdlog::info("job {}: begins after {:.1f} s, before its turn", job.spec.id,
-                   now - job.freed_at);
-    }
-    room -= job.need.cpus * more;
+    cores -= job.need.cpus * more;
     placed += more;
   }
   return placed;
@@ -339,8 +350,22 @@
   int placed = 0;
   const Service service = service_order(cluster, now);
   const std::vector<Kept> kept = kept_for_gangs(cluster, service, open, now);
-  placed += place_long_waiting(cluster, service, open, share_of_waiting, now);
-  for (const Index index : service.order) {
+  if (share_of_waiting > 0) placed += place_firsts(cluster, service, open, now);
+  double cores = 0;
+  for (const auto& host : cluster.hosts) {
+    if (host && usable(cluster, *host, now)) cores += cluster.type_of(*host)->cpus;
+  }
+  const auto rank = [&](Index index) {
+    return std::pair(bool(service.guaranteed[index]), cluster.jobs[index]->priority);
+  };
+  auto rank_end = service.order.begin();
+  for (auto at = service.order.begin(); at != service.order.end(); ++at) {
+    if (at == rank_end) {
+      rank_end = std::find_if(at, service.order.end(),
+                              [&](Index other) { return rank(other) != rank(*at); });
+      placed += place_long_waiting(cluster, at, rank_end, open, share_of_waiting * cores, now);
+    }
+    const Index index = *at;
     Job& job = *cluster.jobs[index];
     const bool gang = job.spec.shape == jobs::Shape::gang;
     const bool begun = has_begun(job);
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -21,7 +21,7 @@
 // wait. Once: if none takes it, or when they are through, it does go back.
 bool lend(Cluster& cluster, Index host);
 
-// Of the usable machines' cores, what those that have waited longest get before all others.
+// Of the usable machines' cores, what those that have waited longest get before others of their rank.
 inline constexpr double kShareOfWaiting = 0.25;
 
 // Places what fits, marks machines to be drained, stops what must leave them. Returns how many
