--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -13,6 +13,7 @@
 #include "levels/levels.h"
 #include "loopback/fleet_server.h"
 #include "loopback/state_server.h"
+#include "proxy.h"
 #include "state/clock.h"
 
 namespace reachramp::test {
@@ -71,9 +72,9 @@
       for (int other = 0; other < kNodes; ++other) {
         if (other == i) continue;
         file << "[[members]]\nnode_name = \"" << name(other)
-             << "\"\ndomain = \"a\"\naddr = " << local(peer_[other]);
+             << "\"\ndomain = \"a\"\naddr = " << local(way(i, peer_[other], other));
       }
-      file << "[services]\ncloud = " << local(cloud_port) << "state = " << local(state_port)
+      file << "[services]\ncloud = " << local(cloud_port) << "state = " << local(way(i, state_port, i))
            << "[[facts.teams]]\nname = \"red\"\n"
               "[facts.workers]\nreport_s = 0.2\nlease_s = 5.0\ngang_wait_s = 10.0\n"
               "gang_peer_s = 2.0\ncancel_s = 10.0\n"
@@ -87,6 +88,21 @@
     }
   }
 
+  // The port under which the node reaches another, or the state service, which is no node.
+  virtual std::uint16_t way(int, std::uint16_t to, int) { return to; }
+
+  int leader() {
+    const Json value =
+        state_->with([](const lab::StateService& model) {
+          const auto at = model.items().find("leader");
+          return at == model.items().end() ? Json() : at->second.value;
+        });
+    for (int i = 0; i < kNodes; ++i) {
+      if (value.is_object() && value.value("node", "") == name(i)) return i;
+    }
+    return -1;
+  }
+
   void TearDown() override {
     for (int i = 0; i < kNodes; ++i) kill_node(i);
     for (int i = 0; i < kNodes; ++i) std::remove(settings(i).c_str());
@@ -295,13 +311,6 @@
 // killed twenty times, then all are at once, five times.
 TEST_F(EndToEnd, WorkIsDoneWhileProcessesEndAgainAndAgain) {
   ASSERT_TRUE(accepts(0, job("j-1", 60)));
-  const auto leader = [&] {
-    const Json value = stored(*state_, "leader").first;
-    for (int i = 0; i < kNodes; ++i) {
-      if (value.is_object() && value.value("node", "") == name(i)) return i;
-    }
-    return -1;
-  };
   ASSERT_TRUE(within(30, [&] { return settled_level() == levels::kNewest; }));
   const auto claims = [&] {
     std::vector<std::uint64_t> stamps;
@@ -332,6 +341,74 @@
 // The operators' file is changed under running processes: by SIGHUP at one node, found by itself at
 // another, where it is older; a wrong one is refused whole. A zone is emptied while a service in it
 // goes on, one replica after another, and stays empty through the death of the leader.
+// The users' trouble: whoever leads stands still for longer than a lease, its clocks run on, and it
+// carries on as if nothing had been; another leads meanwhile, and then stands still itself.
+TEST_F(EndToEnd, LeadersThatStandStillDoNoHarm) {
+  ASSERT_TRUE(accepts(0, job("j-1", 80)));
+  for (int round = 0; round < 3; ++round) {
+    ASSERT_TRUE(within(30, [&] { return leader() >= 0; }));
+    const int still = leader();
+    ASSERT_TRUE(within(30, [&] { return phase((still + 1) % kNodes, "j-1") != "pending"; }));
+    ::kill(pids_[still], SIGSTOP);
+    EXPECT_TRUE(within(30, [&] { return leader() >= 0 && leader() != still; }));
+    EXPECT_TRUE(accepts((still + 1) % kNodes, job("j-2" + std::to_string(round), 10)));
+    std::this_thread::sleep_for(4s);
+    ::kill(pids_[still], SIGCONT);
+  }
+  for (int i = 0; i < kNodes; ++i) {
+    for (const char* id : {"j-1", "j-20", "j-21", "j-22"}) {
+      EXPECT_TRUE(within(75, [&] { return phase(i, id) == "done"; })) << id << " at " << i;
+    }
+  }
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
+// All ways between nodes and to the state service, each of which can be cut; workers and users are
+// not.
+class CutOff : public EndToEnd {
+ protected:
+  std::uint16_t way(int from, std::uint16_t to, int other) override {
+    const std::uint16_t port = free_port();
+    ways_.push_back({from, other, std::make_unique<Proxy>(port, to)});
+    return port;
+  }
+  void cut(int node, bool cut) {
+    for (auto& [from, other, proxy] : ways_) {
+      if (from == node || other == node) proxy->cut(cut);
+    }
+  }
+  void TearDown() override {
+    EndToEnd::TearDown();
+    ways_.clear();
+  }
+
+  struct Way {
+    int from, other;
+    std::unique_ptr<Proxy> proxy;
+  };
+  std::vector<Way> ways_;
+};
+
+// The users' trouble: a leader loses the state service and the other controllers, but not its workers,
+// who would stay with it for as long as it answers them, unheard by whoever leads.
+TEST_F(CutOff, ALeaderThatOnlyItsWorkersReachLetsThemGo) {
+  ASSERT_TRUE(accepts(0, job("j-1", 60)));
+  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "running"; }));
+  const int alone = leader();
+  ASSERT_GE(alone, 0);
+  cut(alone, true);
+  ASSERT_TRUE(within(30, [&] { return leader() >= 0 && leader() != alone; }));
+  const int other = (alone + 1) % kNodes;
+  EXPECT_TRUE(within(60, [&] { return phase(other, "j-1") == "done"; })) << "while it is cut";
+  EXPECT_TRUE(accepts(other, job("j-2", 20)));
+  EXPECT_TRUE(within(60, [&] { return phase(other, "j-2") == "done"; }));
+  cut(alone, false);
+  for (int i = 0; i < kNodes; ++i) {
+    EXPECT_TRUE(within(75, [&] { return phase(i, "j-2") == "done"; })) << i;
+  }
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
 class Drained : public EndToEnd {
  protected:
   Drained() {
