A peer shows a cut only if it was served after we were; outage and cut tested

Cause: the end-to-end outage failed: others said 'served' for seconds after the state service had gone silent for all, so the leader let its workers go. The cut's test passed without the guard too, since silent machines were sent back in the end. Change: nodes tell how long ago they were served; letting go needs one served since our own last time, and one more failed renewal. The test asks what a worker is told: 503 at the cut leader, 200 in an outage.

--- a/src/leadership/campaign.cpp
+++ b/src/leadership/campaign.cpp
@@ -139,6 +139,13 @@
   }
 }
 
+state::Outcome Campaign::renew() {
+  const double asked_at = state::steady_now();
+  const Outcome renewed = state_.renew(permit_);
+  if (renewed == Outcome::ok) note_renewed(asked_at);
+  return renewed;
+}
+
 void Campaign::keep() {
   pause(life_s_ / kRenewalsPerLife);
   const std::uint64_t baton = standing().baton;
@@ -146,15 +153,16 @@
   // While the state service does not answer we go on answering workers, for their leases' sake;
   // nothing new starts, and whoever takes over shows in a higher baton. Not when it is us alone:
   // workers that we answer never report to whoever leads instead.
-  const double asked_at = state::steady_now();
-  const Outcome renewed = state_.renew(permit_);
-  if (renewed == Outcome::ok) {
-    note_renewed(asked_at);
-  } else if (renewed == Outcome::absent) {
+  Outcome renewed = renew();
+  const bool alone = renewed != Outcome::ok && renewed != Outcome::absent &&
+                     cut_off_(state::steady_now() - renewed_at_, life_s_);
+  // An outage may have ended while the others were asked.
+  if (alone) renewed = renew();
+  if (renewed == Outcome::absent) {
     spdlog::info("the lead has run out");
     deposed(baton);
     permit_ = 0;
-  } else if (cut_off_(state::steady_now() - renewed_at_, life_s_)) {
+  } else if (alone && renewed != Outcome::ok) {
     spdlog::error("cut off: the lead is let go, and workers are sent on to other nodes");
     // The key, should it still stand, counts as a predecessor's from now on.
     permit_ = 0;
--- a/src/leadership/campaign.h
+++ b/src/leadership/campaign.h
@@ -50,6 +50,7 @@
  private:
   void stand();
   void keep();
+  state::Outcome renew();
   void watch();
   void look();
   void meet(const state::Json& value, std::uint64_t stamp);
--- a/src/peers/readiness.cpp
+++ b/src/peers/readiness.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "state/clock.h"
@@ -19,8 +20,8 @@
 constexpr auto kAskLimit = 250ms;
 constexpr std::size_t kMostAsked = 3;
 constexpr double kPermitOver_s = 1;
-// Every process has watches that are answered more often than this.
-constexpr double kServedLately_s = 8;
+constexpr double kServedSince_s = 1.5;
+constexpr double kWhenever = std::numeric_limits<double>::infinity();
 
 }  // namespace
 
@@ -50,14 +51,23 @@
   return !isolation.refused || isolation.silent_s > kUnclear_s;
 }
 
-std::pair<std::size_t, bool> Health::ask_others(std::size_t most) {
+// Whether the answer says that its node is served, and was so less than `within_s` ago. Versions
+// that do not tell when can only be asked whether.
+bool says_served(const wire::Answer& answer, double within_s) {
+  if (answer.status != 200 || !answer.body.is_object()) return false;
+  const wire::Json* served = wire::find(answer.body, "served");
+  if (served == nullptr || !served->is_boolean() || !served->get<bool>()) return false;
+  if (within_s == kWhenever) return true;
+  const wire::Json* ago = wire::find(answer.body, "ago_s");
+  return ago != nullptr && ago->is_number() && ago->get<double>() < within_s;
+}
+
+std::pair<std::size_t, bool> Health::ask_others(std::size_t most, double within_s) {
   std::size_t answered = 0;
   for (std::size_t i = 0; i < std::min(others_.size(), most); ++i) {
     const wire::Answer answer = others_[i]->call("GET", kServedPath, nullptr, kAskLimit);
-    if (answer.status != 200 || !answer.body.is_object()) continue;
-    ++answered;
-    const wire::Json* served = wire::find(answer.body, "served");
-    if (served != nullptr && served->is_boolean() && served->get<bool>()) return {answered, true};
+    answered += answer.answered ? 1 : 0;
+    if (says_served(answer, within_s)) return {answered, true};
   }
   return {answered, false};
 }
@@ -68,7 +78,10 @@
   isolation.peers = others_.size();
   if (silent_s < permit_s + kPermitOver_s) return false;
   isolation.refused = state_.refused_for(state::steady_now()) > 0;
-  std::tie(isolation.answered, isolation.others_served) = ask_others(others_.size());
+  // Served for certain after we were last: in an outage that has just begun all were so a moment
+  // ago.
+  std::tie(isolation.answered, isolation.others_served) =
+      ask_others(others_.size(), silent_s - kServedSince_s);
   return must_let_go(isolation, permit_s);
 }
 
@@ -76,13 +89,12 @@
   std::lock_guard lock(mutex_);
   const double now = state::steady_now();
   return readiness_.judge(
-      state_.refused_for(now), [this] { return ask_others(kMostAsked).second; }, now);
+      state_.refused_for(now), [this] { return ask_others(kMostAsked, kWhenever).second; }, now);
 }
 
 wire::Reply Health::served() const {
   const double now = state::steady_now();
-  return {200,
-          {{"served", state_.refused_for(now) == 0 && state_.served_ago(now) < kServedLately_s}}};
+  return {200, {{"served", state_.refused_for(now) == 0}, {"ago_s", state_.served_ago(now)}}};
 }
 
 }  // namespace reachramp::peers
--- a/src/peers/readiness.h
+++ b/src/peers/readiness.h
@@ -34,12 +34,12 @@
   bool refused = false;        // the state service answers, with refusals
   std::size_t peers = 0;       // that were asked
   std::size_t answered = 0;    // of them
-  bool others_served = false;  // one of them is served by the state service
+  bool others_served = false;  // one of them was served by the state service after this node was
 };
-// An outage is told from a cut by the others: one that is served shows a cut; others that answer and
-// are not served, an outage, in which workers must stay or lose their leases. Where none answers,
-// silence of the state service is a cut too, since in an outage it refuses; with refusals alone
-// nothing can tell them apart, and it lets go only after `kUnclear_s`.
+// An outage is told from a cut by the others: one that is served shows a cut; others that answer
+// and are not served, an outage, in which workers must stay or lose their leases. Where none
+// answers, silence of the state service is a cut too, since in an outage it refuses; with refusals
+// alone nothing can tell them apart, and it lets go only after `kUnclear_s`.
 bool must_let_go(const Isolation& isolation, double permit_s);
 inline constexpr double kUnclear_s = 60;
 
@@ -56,8 +56,8 @@
   wire::Reply served() const;
 
  private:
-  // How many of those asked answered, and whether one is served.
-  std::pair<std::size_t, bool> ask_others(std::size_t most);
+  // How many of those asked answered, and whether one was served less than `within_s` ago.
+  std::pair<std::size_t, bool> ask_others(std::size_t most, double within_s);
 
   const state::Client& state_;
   std::vector<std::unique_ptr<wire::Client>> others_;
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -74,7 +74,8 @@
         file << "[[members]]\nnode_name = \"" << name(other)
              << "\"\ndomain = \"a\"\naddr = " << local(way(i, peer_[other], other));
       }
-      file << "[services]\ncloud = " << local(cloud_port) << "state = " << local(way(i, state_port, i))
+      file << "[services]\ncloud = " << local(cloud_port)
+           << "state = " << local(way(i, state_port, i))
            << "[[facts.teams]]\nname = \"red\"\n"
               "[facts.workers]\nreport_s = 0.2\nlease_s = 5.0\ngang_wait_s = 10.0\n"
               "gang_peer_s = 2.0\ncancel_s = 10.0\n"
@@ -92,11 +93,10 @@
   virtual std::uint16_t way(int, std::uint16_t to, int) { return to; }
 
   int leader() {
-    const Json value =
-        state_->with([](const lab::StateService& model) {
-          const auto at = model.items().find("leader");
-          return at == model.items().end() ? Json() : at->second.value;
-        });
+    const Json value = state_->with([](const lab::StateService& model) {
+      const auto at = model.items().find("leader");
+      return at == model.items().end() ? Json() : at->second.value;
+    });
     for (int i = 0; i < kNodes; ++i) {
       if (value.is_object() && value.value("node", "") == name(i)) return i;
     }
@@ -377,6 +377,20 @@
       if (from == node || other == node) proxy->cut(cut);
     }
   }
+  void cut_state(bool cut) {
+    for (auto& [from, other, proxy] : ways_) {
+      if (from == other) proxy->cut(cut);
+    }
+  }
+  // What a worker that comes to the node is told.
+  int status_for_a_worker(int node) {
+    const Json report{{"host", "n-999999"},      {"address", "127.0.0.1:1"},
+                      {"rig", "small"},          {"hall", "a"},
+                      {"loaner", true},          {"tenure", 1},
+                      {"tick", ++tick_},         {"baton", 0},
+                      {"reclaim_in_s", nullptr}, {"pieces", Json::array()}};
+    return clients_[node]->call("POST", "/v1/report", &report, 5000ms).status;
+  }
   void TearDown() override {
     EndToEnd::TearDown();
     ways_.clear();
@@ -387,10 +401,11 @@
     std::unique_ptr<Proxy> proxy;
   };
   std::vector<Way> ways_;
+  std::uint64_t tick_ = 0;
 };
 
-// The users' trouble: a leader loses the state service and the other controllers, but not its workers,
-// who would stay with it for as long as it answers them, unheard by whoever leads.
+// The users' trouble: a leader loses the state service and the other controllers, but not its
+// workers, who would stay with it for as long as it answers them, unheard by whoever leads.
 TEST_F(CutOff, ALeaderThatOnlyItsWorkersReachLetsThemGo) {
   ASSERT_TRUE(accepts(0, job("j-1", 60)));
   ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "running"; }));
@@ -398,6 +413,7 @@
   ASSERT_GE(alone, 0);
   cut(alone, true);
   ASSERT_TRUE(within(30, [&] { return leader() >= 0 && leader() != alone; }));
+  EXPECT_TRUE(within(30, [&] { return status_for_a_worker(alone) == 503; }));
   const int other = (alone + 1) % kNodes;
   EXPECT_TRUE(within(60, [&] { return phase(other, "j-1") == "done"; })) << "while it is cut";
   EXPECT_TRUE(accepts(other, job("j-2", 20)));
@@ -409,6 +425,19 @@
   EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
+// In an outage for all the workers stay, or they would lose their leases.
+TEST_F(CutOff, InAnOutageTheLeaderKeepsItsWorkers) {
+  ASSERT_TRUE(accepts(0, job("j-1", 4)));
+  ASSERT_TRUE(within(30, [&] { return leader() >= 0 && status_for_a_worker(leader()) == 200; }));
+  const int node = leader();
+  cut_state(true);
+  std::this_thread::sleep_for(6s);  // four times what its permit lasts
+  EXPECT_EQ(status_for_a_worker(node), 200);
+  cut_state(false);
+  EXPECT_TRUE(within(75, [&] { return phase(node, "j-1") == "done"; }));
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
 class Drained : public EndToEnd {
  protected:
   Drained() {
--- a/test/proxy.h
+++ b/test/proxy.h
@@ -1,5 +1,6 @@
-// Passes TCP connections on to a port of this machine, until it is cut: then it holds them, takes new ones
-// and passes nothing on, as a network does that gives no errors. Mended, held connections go on.
+// Passes TCP connections on to a port of this machine, until it is cut: then it holds them, takes
+// new ones and passes nothing on, as a network does that gives no errors. Mended, held connections
+// go on.
 #pragma once
 
 #include <poll.h>
