--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -61,7 +61,9 @@
       known = true;
     }
   }
-  if (!known) throw wire::BadMessage("phase: unknown value");
+  // A phase of a newer version: the task is there, and that is all that is known. Refused, its
+  // worker would go from node to node until its lease ended.
+  if (!known) piece.state = PieceState::waiting;
   if (const auto cause = wire::maybe_text(item, "cause")) {
     // A cause of a newer version is taken for a fault.
     piece.cause = Cause::error;
--- a/src/workers/report_test.cpp
+++ b/src/workers/report_test.cpp
@@ -302,6 +302,34 @@
   EXPECT_GT(cluster_.jobs[job_]->not_before, 0) << "and is tried less and less often";
 }
 
+// Phases and causes that a newer worker may have, and numbers that no worker has.
+TEST(ReportCodec, TakesWhatItDoesNotKnowAndRefusesWhatCannotBe) {
+  const Json good{
+      {"host", "n-1"},
+      {"rig", "small"},
+      {"hall", "a"},
+      {"loaner", true},
+      {"tenure", 1},
+      {"tick", 2},
+      {"baton", 3},
+      {"pieces",
+       Json::array(
+           {{{"piece", "j-9/7"}, {"try", 1}, {"phase", "brooding"}, {"cause", "weather"}}})}};
+  const Report report = decode_report(good);
+  EXPECT_EQ(report.pieces.at(0).state, PieceState::waiting) << "it is there, and has not ended";
+  EXPECT_EQ(report.pieces.at(0).cause, Cause::error);
+  for (const char* field : {"tenure", "tick", "baton"}) {
+    for (const Json& value : {Json(-1), Json(1.5), Json(1e300), Json("x"), Json(true), Json()}) {
+      Json bad = good;
+      bad[field] = value;
+      EXPECT_THROW(decode_report(bad), wire::BadMessage) << field << value;
+    }
+    Json bad = good;
+    bad.erase(field);
+    EXPECT_THROW(decode_report(bad), wire::BadMessage) << field;
+  }
+}
+
 RC_GTEST_PROP(ReportCodec, DamagedReportsAreRefusedOrRead, ()) {
   Json body{{"host", "n-1"},
             {"rig", "small"},
