--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -133,8 +133,14 @@
   for (;;) {
     const leadership::Standing standing = campaign_.standing();
     if (standing.baton != 0) return ask_owner(standing.baton, report);
-    if (origin == Origin::relay || standing.cut_off) break;
+    if (origin == Origin::relay) break;
     const bool detour = origin == Origin::worker;
+    if (standing.cut_off) {
+      // Refused by the state service alone it still has the other nodes, who know of a leader: its
+      // workers need not move. Cut off from all, it sends them on at once.
+      if (auto answer = relay_.carry("", message, detour, give_up)) return *answer;
+      break;
+    }
     if (!standing.leader.empty() && standing.leader != platform_.node_name) {
       if (auto answer = relay_.carry(standing.leader, message, detour, give_up)) return *answer;
     }
--- a/src/peers/relay.cpp
+++ b/src/peers/relay.cpp
@@ -85,10 +85,12 @@
 
 std::optional<wire::Reply> Relay::carry(const std::string& leader, const wire::Json& report,
                                         bool detour, double until) {
-  if (!clients_.contains(leader)) return std::nullopt;
+  const bool known = clients_.contains(leader);
+  if (!known && !detour) return std::nullopt;
   const Slot slot(*this);
   if (!slot.taken()) return std::nullopt;
-  auto answer = by_way_of(leader, kRelayPath, report, kLimit_s, until);
+  std::optional<wire::Reply> answer;
+  if (known) answer = by_way_of(leader, kRelayPath, report, kLimit_s, until);
   for (const auto& [name, other] : clients_) {
     if (answer || !detour) break;
     if (name != leader) answer = by_way_of(name, kOnwardPath, report, kDetourLimit_s, until);
--- a/src/peers/relay.h
+++ b/src/peers/relay.h
@@ -22,7 +22,8 @@
   explicit Relay(const settings::Platform& platform);
 
   // The leader's response, or nothing if it cannot be had before `until` (steady seconds): straight
-  // from the leader or, if that fails and `detour` is allowed, through another node.
+  // from the leader or, if that fails and `detour` is allowed, through another node. Without the
+  // leader's name: through whoever knows it.
   std::optional<wire::Reply> carry(const std::string& leader, const wire::Json& report, bool detour,
                                    double until);
 
