--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -233,20 +233,27 @@
   return placed;
 }
 
-// Of jobs of one rank, those that have waited longest get a part of the machines before all others.
-// Not before those of a higher rank: a guest's idle batch took a quarter of the machines from
-// guaranteed work.
+// Of a team's jobs of one rank, those that have waited longest get a part of what the team can use,
+// all machines or its limit, before its others. Not before those of a higher rank: a guest's idle
+// batch took a quarter of the machines from guaranteed work. Not a part of all machines either:
+// that was a small team's whole limit, and its small jobs waited three times as long.
 int place_long_waiting(Cluster& cluster, std::vector<Index>::const_iterator begin,
-                       std::vector<Index>::const_iterator end, Openings& open, double cores,
-                       double now) {
+                       std::vector<Index>::const_iterator end, Openings& open, double share,
+                       double all_cores, double now) {
   const std::vector<Index> waiting = long_waiting(cluster, begin, end, kServeWithin_s, true, now);
+  std::vector<double> left(cluster.used.size());
+  for (Index team = 0; team < left.size(); ++team) {
+    const double limit = cluster.platform.teams[team].cpus_max;
+    left[team] = share * (limit > 0 ? std::min(limit, all_cores) : all_cores);
+  }
   for (const Index index : waiting) {
     const Job& job = *cluster.jobs[index];
-    cores -= job.need.cpus * static_cast<double>(job.attempts.size());
+    left[job.team] -= job.need.cpus * static_cast<double>(job.attempts.size());
   }
   int placed = 0;
   for (const Index index : waiting) {
     const Job& job = *cluster.jobs[index];
+    double& cores = left[job.team];
     const double tasks = job.need.cpus > 0 ? cores / job.need.cpus : job.spec.tasks;
     int more = 0;
     if (job.spec.shape == jobs::Shape::gang) {
@@ -363,7 +370,7 @@
     if (at == rank_end) {
       rank_end = std::find_if(at, service.order.end(),
                               [&](Index other) { return rank(other) != rank(*at); });
-      placed += place_long_waiting(cluster, at, rank_end, open, share_of_waiting * cores, now);
+      placed += place_long_waiting(cluster, at, rank_end, open, share_of_waiting, cores, now);
     }
     const Index index = *at;
     Job& job = *cluster.jobs[index];
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -21,8 +21,9 @@
 // wait. Once: if none takes it, or when they are through, it does go back.
 bool lend(Cluster& cluster, Index host);
 
-// Of the usable machines' cores, what those that have waited longest get before others of their rank.
-inline constexpr double kShareOfWaiting = 0.25;
+// Of the cores that a team can use, what those of its jobs that have waited longest get before
+// others of their rank.
+inline constexpr double kShareOfWaiting = 0.1;
 
 // Places what fits, marks machines to be drained, stops what must leave them. Returns how many
 // attempts were placed.
