--- a/src/acquire/demand.cpp
+++ b/src/acquire/demand.cpp
@@ -27,7 +27,6 @@
 // Aims count jobs, and a large one costs as much as many small ones: an array that would need more
 // than this share of the fleet makes do with cheap machines.
 constexpr double kLargestShare = 0.5;
-constexpr double kSuspectWaits_s = 60;
 
 }  // namespace
 
@@ -203,12 +202,8 @@
     const Job& job = *cluster.jobs[index];
     if (now < job.not_before) continue;
     double tasks = job.spec.tasks - job.done_count;
-    if (job.suspect()) {
-      // Nothing is rented for it, but where it has found no room for long: should only the machines
-      // have been at fault, it still gets to run.
-      if (now - job.not_before < kSuspectWaits_s) continue;
-      if (job.spec.shape != jobs::Shape::gang) tasks = 1;
-    }
+    // As it is tried: one by one, and not while it pauses.
+    if (job.suspect() && job.spec.shape != jobs::Shape::gang) tasks = 1;
     const settings::Team& team = cluster.platform.teams[job.team];
     const auto cap = [&](double limit, double used, double need) {
       if (limit > 0 && need > 0) tasks = std::min(tasks, std::floor((limit - used) / need + 1e-6));
