--- a/src/jobs/reads.cpp
+++ b/src/jobs/reads.cpp
@@ -113,6 +113,7 @@
       if (--question->waiters == 0 && !question->taken) {
         waiting_by_id_.erase(id);
         std::erase(waiting_, question);
+        if (!waiting_.empty()) waiting_.front()->changed.notify_all();
       }
       return {};
     }
@@ -126,12 +127,13 @@
         resolve(batch);
         lock.lock();
         --reading_;
-        changed_.notify_all();
+        if (!waiting_.empty()) waiting_.front()->changed.notify_all();
         continue;
       }
-      wait = std::min(wait, token);
+      // Whoever is first in line takes the others along.
+      if (question == waiting_.front()) wait = std::min(wait, token);
     }
-    changed_.wait_for(lock, std::chrono::duration<double>(wait));
+    question->changed.wait_for(lock, std::chrono::duration<double>(wait));
   }
   return question->answer;
 }
@@ -182,7 +184,7 @@
     std::lock_guard lock(mutex_);
     question->answer = std::move(answer);
     question->answered = true;
-    changed_.notify_all();
+    question->changed.notify_all();
   }
 }
 
@@ -212,8 +214,8 @@
     for (std::size_t i = 0; i < same.size(); ++i) {
       if (compared.outcome == Outcome::ok) same[i]->answer = held[i];
       same[i]->answered = true;
+      same[i]->changed.notify_all();
     }
-    changed_.notify_all();
     same.clear();
   }
   changed.insert(changed.end(), same.begin(), same.end());
--- a/src/jobs/reads.h
+++ b/src/jobs/reads.h
@@ -44,6 +44,7 @@
     bool taken = false;
     bool answered = false;
     Lookup answer;
+    std::condition_variable changed;  // its own: waking all for each answer cost the node its share
   };
   using Asked = std::shared_ptr<Question>;
 
@@ -58,7 +59,6 @@
   state::Client& state_;
   const std::size_t most_;
   std::mutex mutex_;
-  std::condition_variable changed_;
   state::Bucket bucket_;
   int reading_ = 0;
   std::deque<Asked> waiting_;
