Gangs that pause claim no room; cores are counted only where somebody waits long

With 'suspect' written in its place, a gang that pauses for another reason (its job not yet uploaded) kept its team's limit and could have others stopped; every plan went over all machines for the part of those that wait long, of whom there are mostly none. Change: both conditions stand again beside the new one; the cores are counted after the look for such jobs.

--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -70,7 +70,7 @@
   for (const Index index : service.order) {
     const Job& job = *cluster.jobs[index];
     if (job.spec.shape != jobs::Shape::gang || !job.attempts.empty() || job.suspect() ||
-        now - job.freed_at < kGiveWayAfter_s) {
+        now < job.not_before || now - job.freed_at < kGiveWayAfter_s) {
       continue;
     }
     Index& oldest = kept[job.team].gang;
@@ -239,8 +239,13 @@
 // that was a small team's whole limit, and its small jobs waited three times as long.
 int place_long_waiting(Cluster& cluster, std::vector<Index>::const_iterator begin,
                        std::vector<Index>::const_iterator end, Openings& open, double share,
-                       double all_cores, double now) {
+                       double now) {
   const std::vector<Index> waiting = long_waiting(cluster, begin, end, kServeWithin_s, true, now);
+  if (waiting.empty()) return 0;  // as in most plans
+  double all_cores = 0;
+  for (const auto& host : cluster.hosts) {
+    if (host && usable(cluster, *host, now)) all_cores += cluster.type_of(*host)->cpus;
+  }
   std::vector<double> left(cluster.used.size());
   for (Index team = 0; team < left.size(); ++team) {
     const double limit = cluster.platform.teams[team].cpus_max;
@@ -358,10 +363,6 @@
   const Service service = service_order(cluster, now);
   const std::vector<Kept> kept = kept_for_gangs(cluster, service, open, now);
   if (share_of_waiting > 0) placed += place_firsts(cluster, service, open, now);
-  double cores = 0;
-  for (const auto& host : cluster.hosts) {
-    if (host && usable(cluster, *host, now)) cores += cluster.type_of(*host)->cpus;
-  }
   const auto rank = [&](Index index) {
     return std::pair(bool(service.guaranteed[index]), cluster.jobs[index]->priority);
   };
@@ -370,7 +371,7 @@
     if (at == rank_end) {
       rank_end = std::find_if(at, service.order.end(),
                               [&](Index other) { return rank(other) != rank(*at); });
-      placed += place_long_waiting(cluster, at, rank_end, open, share_of_waiting, cores, now);
+      placed += place_long_waiting(cluster, at, rank_end, open, share_of_waiting, now);
     }
     const Index index = *at;
     Job& job = *cluster.jobs[index];
--- a/src/placement/preempt.cpp
+++ b/src/placement/preempt.cpp
@@ -151,8 +151,8 @@
 // A gang that has waited and could start as soon as it had room in one zone.
 bool may_claim(const Cluster& cluster, const Job& job, double now) {
   return job.spec.shape == jobs::Shape::gang && job.attempts.empty() && !job.suspect() &&
-         now - job.freed_at >= kWaitFirst_s && cluster.within_limit(job, job.spec.tasks) &&
-         (job.spec.tasks == 1 || job.spec.one_zone);
+         now >= job.not_before && now - job.freed_at >= kWaitFirst_s &&
+         cluster.within_limit(job, job.spec.tasks) && (job.spec.tasks == 1 || job.spec.one_zone);
 }
 
 // Cores, by team, of what is being stopped.
