--- a/lab/loopback/fleet_server.cpp
+++ b/lab/loopback/fleet_server.cpp
@@ -61,7 +61,7 @@
     members = members_;
     for (auto& [name, member] : members) {
       member->gone = true;
-      member->changed.notify_one();
+      member->changed.notify_all();
     }
   }
   clock_.join();
@@ -92,8 +92,24 @@
   return reply;
 }
 
+std::size_t FleetServer::hang_machines_of(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  std::size_t hung = 0;
+  for (auto& [name, member] : members_) {
+    const auto holds = member->worker->holds();
+    if (std::none_of(holds.begin(), holds.end(),
+                     [&](const auto& held) { return held.first.job == job; })) {
+      continue;
+    }
+    member->worker->hang(steady_now());
+    ++hung;
+  }
+  return hung;
+}
+
 wire::Reply FleetServer::serve_worker(Member& member, const wire::Request& request) {
-  std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
+  member.changed.wait(lock, [&] { return member.gone || !member.worker->hangs(); });
   if (member.gone) return {503, {{"error", "gone"}}};
   const double now = steady_now();
   wire::Reply reply = member.worker->ask(request, now);
@@ -163,7 +179,7 @@
   member->gone = true;
   member->worker->end(now);
   rules_.gone(name);
-  member->changed.notify_one();
+  member->changed.notify_all();
   left_.push_back(member);
 }
 
--- a/lab/loopback/fleet_server.h
+++ b/lab/loopback/fleet_server.h
@@ -47,6 +47,8 @@
   }
   std::vector<std::string> broken_rules();
   std::size_t tasks_of(const std::string& job);  // on machines
+  // Lets every machine hang that holds a task of the job, until it is returned; how many.
+  std::size_t hang_machines_of(const std::string& job);
 
  private:
   struct Member {
--- a/lab/model/worker.h
+++ b/lab/model/worker.h
@@ -48,6 +48,7 @@
   void notice(double left_s, double now) { reclaim_at_ = now + left_s; }
   void hang(double now);
   void go_on(double now);
+  bool hangs() const { return hangs_; }
   void be(double speed, bool faulty);
   // The machine and all on it are gone.
   void end(double now);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -74,9 +74,8 @@
       std::cout << "settings are valid\n";
       if (!leadership::bound_holds(platform.workers)) {
         std::cout << config
-                  << ": facts.workers.cancel_s: less than lease_s and 4 s more: where a worker "
-                     "cannot be reached, or in an outage of the state service, tasks may outlast "
-                     "it\n";
+                  << ": facts.workers.cancel_s: less than lease_s and 4 s more: users are told of "
+                     "a cancellation only once all tasks of the job are proven to have ended\n";
       }
       return 0;
     }
--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -36,6 +36,9 @@
 constexpr double kThrottlesWithin_s = 5;
 constexpr double kLookUpAgain_s = 1;
 constexpr double kReadBackAgain_s = 0.5;
+constexpr double kReadJobsAgain_s = 2;
+// A mark of the timeline may be so much later than the service's answer that it was taken from.
+constexpr double kAnswerOnItsWay_s = 2;
 constexpr int kMostConflicts = 12;
 constexpr std::size_t kLeastOps = 2;  // a job's end
 // What a leader that has seen nothing yet will not know of: at most this much of every job's age,
@@ -79,6 +82,8 @@
       told_timeline_at_(now),
       most_ops_(platform.lasting().txn_ops),
       since_(now),
+      listening_since_(now),
+      advanced_at_(now),
       staleness_(platform.workers, platform.members.size() + 1, snapshot.asked_at.value_or(now)) {
   level_ =
       levels::decode_stored(snapshot.level ? std::optional(snapshot.level->value) : std::nullopt);
@@ -118,7 +123,7 @@
     cluster_.set_catalog(cloud::decode_catalog(snapshot.catalog->value));
   }
   for (const state::Entry& entry : snapshot.jobs) {
-    take_header(entry.key, entry.value, entry.stamp, now);
+    take_header(entry.key, entry.value, entry.stamp, told_before(entry.stamp, now), now);
   }
   std::map<Index, std::vector<placement::StoredRecord>> records;
   for (const state::Entry& entry : snapshot.tasks) {
@@ -184,17 +189,19 @@
 
 // Looked at for each answer, however long the process stood still before: the worker's lease counts
 // from the sending of its report, which is before `now`.
-void Leader::answer(const Answerer& answer, std::optional<Index> host, double now) {
+bool Leader::entitled_to_answer(const Answerer& answer, double now) {
   const bool answers = staleness_.may_answer(now);
   if (answers != std::exchange(answers_, answers)) {
     spdlog::error("{}: cancellations are known up to {:.1f} s ago",
                   answers ? "workers are answered again" : "workers are answered no longer",
                   now - staleness_.known_to());
   }
-  if (!answers) {
-    answer(nullptr);
-    return;
-  }
+  if (!answers) answer(nullptr);
+  return answers;
+}
+
+void Leader::answer(const Answerer& answer, std::optional<Index> host, double now) {
+  if (!entitled_to_answer(answer, now)) return;
   std::vector<workers::Order> orders;
   if (host) orders = workers::orders_for(cluster_, *host, may_start(now), now);
   answer(workers::encode_response(cluster_.baton, orders));
@@ -220,20 +227,22 @@
   parked_ = std::move(still);
 }
 
-bool Leader::on_report(const workers::Report& report, Answerer answerer, double now) {
+ReportVerdict Leader::on_report(const workers::Report& report, Answerer answerer, double now) {
   if (report.baton > cluster_.baton) {
     deposed_ = true;
-    return false;
+    return ReportVerdict::deposed;
   }
-  // A machine that we returned: a late report, answered but not believed.
-  if (tombstones_.contains(report.host) ||
-      !workers::absorb(cluster_, report, workers::Channel::report, now)) {
-    answer(answerer, std::nullopt, now);
-    return true;
+  // Whatever runs there counts as ended: its lease must not be extended.
+  if (tombstones_.contains(report.host)) return ReportVerdict::returned;
+  if (workers::absorb(cluster_, report, workers::Channel::report, now)) {
+    replan_ = true;
+    parked_.push_back({report.host, std::move(answerer), now});
+  } else if (entitled_to_answer(answerer, now)) {
+    // Not newer than what is known, such as a report that a direct response has overtaken. The
+    // answer extends the lease all the same, so it carries what must stop; nothing may start on it.
+    answerer(workers::encode_response(cluster_.baton, workers::stops_for(cluster_, report)));
   }
-  replan_ = true;
-  parked_.push_back({report.host, std::move(answerer), now});
-  return true;
+  return ReportVerdict::taken;
 }
 
 void Leader::on_direct(const workers::Report& report, double now) {
@@ -245,19 +254,43 @@
   }
 }
 
-void Leader::take_header(const std::string& key, const state::Json& value, std::uint64_t stamp,
-                         double now) {
-  if (!key.starts_with("job/")) return;
+// What was not in the state was told after the moment up to which all cancellations were known.
+placement::CancellationTime Leader::told_lately(double now) const {
+  return {std::min(staleness_.known_to(), now), now};
+}
+
+placement::CancellationTime Leader::told_before(std::uint64_t stamp, double now) const {
+  placement::CancellationTime told_at;
+  if (const auto earliest = timeline_.not_before(stamp))
+    told_at.earliest = *earliest - kAnswerOnItsWay_s;
+  told_at.latest = timeline_.time_of(stamp, now);
+  return told_at;
+}
+
+void Leader::on_jobs_current(double asked_at) {
+  if (jobs_complete_) staleness_.read_to(asked_at);
+}
+
+bool Leader::take_header(const std::string& key, const state::Json& value, std::uint64_t stamp,
+                         placement::CancellationTime told_at, double now) {
+  if (!key.starts_with("job/")) return true;
   const std::string id = key.substr(4);
   const auto ended = ended_.find(id);
-  if (ended != ended_.end() && stamp < ended->second) return;
+  if (ended != ended_.end() && stamp < ended->second) return true;
+  jobs::Header header;
+  try {
+    header = jobs::decode_header(value);
+  } catch (const std::exception& error) {
+    // No node can read it, so that no user is told anything of it.
+    spdlog::error("record {}: {}", key, error.what());
+    return true;
+  }
   try {
-    const jobs::Header header = jobs::decode_header(value);
     Job* job = cluster_.job(id);
     if (job == nullptr) {
       const std::uint64_t born = header.born != 0 ? header.born : stamp;
       const double seen_at = timeline_.time_of(born, now);
-      const Index index = cluster_.add_job(header, stamp, seen_at);
+      const Index index = cluster_.add_job(header, stamp, seen_at, told_at);
       cluster_.jobs[index]->still_since = now;
       if (born > accounted_to_) accounts_.came(*cluster_.jobs[index]);
       pipelines::enter(cluster_, index, now);
@@ -266,22 +299,26 @@
       job->stamp = stamp;
       job->hearsay = job->hearsay && !header.cancelled;
       if (header.cancelled && !job->cancelled) {
-        cluster_.cancel(cluster_.job_index[id], now);
+        cluster_.cancel(cluster_.job_index[id], told_at);
         pipelines::settle(cluster_, id, Fate::cancelled, now);
       }
     }
     reurge_ = replan_ = rebuy_ = look_at_parked_ = true;
   } catch (const std::exception& error) {
-    spdlog::error("record {}: {}", key, error.what());
+    spdlog::error("record {}: not taken in: {}", key, error.what());
+    return false;
   }
+  return true;
 }
 
 void Leader::on_jobs(const std::vector<state::Change>& changes, double now) {
+  // Until the last of them is taken in: what throws on the way is not known.
+  bool complete = std::exchange(jobs_complete_, false);
   for (const state::Change& change : changes) {
     watched_to_ = std::max(watched_to_, change.stamp);
     timeline_.note(change.stamp, now);
     if (change.value) {
-      take_header(change.key, *change.value, change.stamp, now);
+      complete &= take_header(change.key, *change.value, change.stamp, told_lately(now), now);
       continue;
     }
     // Our own end of the job; what the watch brings from here on is newer.
@@ -295,6 +332,7 @@
       reurge_ = true;
     }
   }
+  jobs_complete_ = complete;
 }
 
 // Told to a user, they are durable; the watch brings their headers later. Before a word proves
@@ -311,7 +349,7 @@
       if (job.cancelled) continue;
       spdlog::info("job {} is cancelled: its user was told so elsewhere", id);
       job.hearsay = true;
-      cluster_.cancel(at->second, now);
+      cluster_.cancel(at->second, told_lately(now));
       pipelines::settle(cluster_, id, Fate::cancelled, now);
       reurge_ = replan_ = rebuy_ = look_at_parked_ = true;
     }
@@ -344,7 +382,11 @@
 }
 
 void Leader::on_job_list(const std::vector<state::Entry>& entries, double now) {
-  for (const state::Entry& entry : entries) take_header(entry.key, entry.value, entry.stamp, now);
+  bool complete = true;
+  for (const state::Entry& entry : entries) {
+    complete &= take_header(entry.key, entry.value, entry.stamp, told_lately(now), now);
+  }
+  jobs_complete_ = complete;
 }
 
 void Leader::on_settled(const state::Committed& committed, double now) {
@@ -525,6 +567,7 @@
 }
 
 Outbox Leader::advance(double now) {
+  note_advance(now);
   if (std::exchange(reurge_, false)) {
     pipelines::urge(cluster_);
     unknown_ = pipelines::unknown(cluster_);
@@ -555,6 +598,10 @@
     upkeep_at_ = now;
     upkeep(now);
   }
+  if (now - cancellations_checked_at_ >= kUpkeepEvery) {
+    cancellations_checked_at_ = now;
+    return_for_cancellations(now);
+  }
   if (current) drain(now);
   const double since_buy = now - bought_at_;
   // Records only name machines. Until a list or their reports tell what they are and that they run
@@ -568,6 +615,10 @@
   }
   watch_levels(now);
   commit(now);
+  if (!jobs_complete_ && now - jobs_asked_at_ >= kReadJobsAgain_s) {
+    jobs_asked_at_ = now;
+    out_.read_jobs = true;
+  }
   if (staleness_.should_ask(now)) out_.ask_told = staleness_.windows(now);
   std::erase_if(to_hire_, [&](const auto& pending) {
     if (!ledger_.is_stored(pending.first)) return false;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "acquire/buyer.h"
+#include "controller/cloud_calls.h"
 #include "controller/ledger.h"
 #include "drains/drains.h"
 #include "leadership/staleness.h"
@@ -23,10 +24,11 @@
 
 namespace reachramp::controller {
 
-struct CloudOrder {
-  enum class Kind { hire, give_back } kind = Kind::hire;
-  cloud::Hire hire;
-  std::vector<std::string> machines;
+// What becomes of a worker's report.
+enum class ReportVerdict {
+  taken,     // its response goes to the answerer, now or later
+  deposed,   // the worker has seen a higher token: this leader's time is over
+  returned,  // of a machine that is gone: no response, which would extend a lease
 };
 
 // What the edges are to do. Taken and emptied by the owner after each batch of commands.
@@ -40,6 +42,7 @@
   std::vector<double>
       ask_told;  // members for the cancellations they told: one window each; or none
   bool resign = false;
+  bool read_jobs = false;    // all of them: a change that the watch brought was not taken in
   bool read_drains = false;  // the record of what is to be drained
   bool read_claims = false;  // what the processes on all nodes speak
   bool read_stale = false;   // records that are not of the level's form, by strong reads
@@ -69,17 +72,17 @@
 
   // A worker's report; `answer` is called with the response, now or as soon as intents that it
   // should carry are durable, or with null: this leader may not answer now
-  // (leadership/staleness.h). Returns false if the worker has seen a higher baton: we are deposed.
+  // (leadership/staleness.h).
   using Answerer = std::function<void(const wire::Json&)>;
-  bool on_report(const workers::Report& report, Answerer answer, double now);
+  ReportVerdict on_report(const workers::Report& report, Answerer answer, double now);
   void on_direct(const workers::Report& report, double now);
   void on_jobs(const std::vector<state::Change>& changes, double now);
   // All jobs as read anew after the watch lost its place.
   void on_job_list(const std::vector<state::Entry>& entries, double now);
   void on_end_read(const std::string& id, const state::Found& found, double now);
   void on_all_upgraded() { all_upgraded_ = true; }
-  // All cancellations until then are known.
-  void on_jobs_current(double asked_at) { staleness_.read_to(asked_at); }
+  // All changes of jobs until then were passed in; they count as known if all were taken in.
+  void on_jobs_current(double asked_at);
   // What members have told users as cancelled, each for itself.
   void on_words(const std::vector<leadership::Word>& words, double now);
   void on_claims(const std::vector<state::Entry>& entries);
@@ -115,7 +118,13 @@
   void find_deaf(double now);
   void buy(double now);
   void give_back(Index host, const char* why);
-  // With the orders for the host, if it is one to be given any.
+  // Machines on which a task of a cancelled job may outlive cancel_s.
+  void return_for_cancellations(double now);
+  // A leader that stood still has heard nobody meanwhile: it listens anew.
+  void note_advance(double now);
+  // False, and nothing is answered, while this leader may not answer workers.
+  bool entitled_to_answer(const Answerer& answer, double now);
+  // With the orders for the host, if it is known.
   void answer(const Answerer& answer, std::optional<Index> host, double now);
   void answer_parked(double now);
   bool waits_for_commit(const placement::Host& host) const;
@@ -132,8 +141,12 @@
   void write_level(const levels::Stored& to,
                    std::vector<std::pair<std::string, std::uint64_t>> given);
   void renew_record(const std::string& key, std::uint64_t stamp, double now);
-  void take_header(const std::string& key, const state::Json& value, std::uint64_t stamp,
-                   double now);
+  // Whether all that the record says is in the state now.
+  bool take_header(const std::string& key, const state::Json& value, std::uint64_t stamp,
+                   placement::CancellationTime told_at, double now);
+  // Of a change that the watch brings now, and of a record that was there when this leader began.
+  placement::CancellationTime told_lately(double now) const;
+  placement::CancellationTime told_before(std::uint64_t stamp, double now) const;
   bool may_start(double now) const;
   std::string pool_key(const placement::Pool& pool) const;
 
@@ -193,11 +206,16 @@
   std::map<std::string, double> asked_at_;
   std::uint64_t hires_ = 0;
   double since_;
+  double listening_since_;  // the same, or since this process last stood still
+  double advanced_at_;
   leadership::Staleness staleness_;
-  bool answers_ = true;  // as last logged
+  bool jobs_complete_ = true;  // every change that the watch brought was taken in
+  bool answers_ = true;        // as last logged
   double planned_at_ = -1e9;
   double bought_at_ = -1e9;
   double upkeep_at_ = -1e9;
+  double cancellations_checked_at_ = -1e9;
+  double jobs_asked_at_ = -1e9;
   bool told_heard_ = false;
   double half_heard_s_ = -1, most_heard_s_ = -1;  // since taking over; not yet: -1
   bool listed_ = false;                           // the machines have been listed under this lead
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -7,6 +7,7 @@
 #include "controller/leader.h"
 #include "pipelines/needs.h"
 #include "placement/plan.h"
+#include "workers/cancelled_tasks.h"
 
 namespace reachramp::controller {
 
@@ -150,6 +151,27 @@
   out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}});
 }
 
+void Leader::note_advance(double now) {
+  const bool stood_still = now - advanced_at_ > workers::report_allowance_s(platform_.workers) / 2;
+  if (stood_still) listening_since_ = now;
+  advanced_at_ = now;
+}
+
+// Also without the state service: a cancelled task must be gone whoever else may lead, and
+// returning a machine is safe under any leader.
+void Leader::return_for_cancellations(double now) {
+  for (const auto& [host_index, job_index] :
+       workers::machines_past_cancellation(cluster_, listening_since_, now)) {
+    Host& host = *cluster_.hosts[host_index];
+    spdlog::info("machine {} goes back: job {} is cancelled and may still run there", host.name,
+                 cluster_.jobs[job_index]->spec.id);
+    host.phase = HostPhase::leaving;
+    host.urgent_return = true;
+    out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}, true});
+    replan_ = rebuy_ = true;
+  }
+}
+
 // How long a change of leaders took, as the workers see it: until all that run have been heard, or
 // a lease has gone by.
 void Leader::tell_heard(double now) {
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -115,6 +115,76 @@
   EXPECT_EQ(returned(leader.advance(60.5)), 1) << "the one that is silent";
 }
 
+// A cancelled task on a machine that hangs: its leader, and the next one, send the machine back in
+// time, though the state service is out and though a third of all machines are silent.
+TEST_F(LeaderTest, AMachineThatMayRunACancelledTaskGoesBackInTime) {
+  Leader leader = lead(snapshot({job_entry("j-1", 12)}));
+  for (int i = 0; i < 3; ++i) hear(leader, i, 1);
+  ASSERT_TRUE(leader.advance(1).commit);
+  leader.on_settled(outcome(state::Outcome::ok), 1.1);
+  for (int i = 0; i < 3; ++i) hear(leader, i, 2);
+  leader.advance(2.2);
+  for (int i = 0; i < 3; ++i) hear_running(leader, i, 3);
+  leader.advance(3.2);
+  state::Entry cancelled = job_entry("j-1", 12, true);
+  cancelled.stamp = 60;
+  leader.on_jobs_current(3.9);
+  leader.on_jobs({{cancelled.key, cancelled.value, 60}}, 4);
+  leader.on_jobs_current(4);
+  int back = 0;
+  for (double now = 4.5; now < 32; now += 0.5) {
+    hear(leader, 0, now);  // it has stopped what it ran
+    for (const CloudOrder& order : leader.advance(now).cloud) {
+      if (order.kind != CloudOrder::Kind::give_back) continue;
+      EXPECT_TRUE(order.urgent);
+      EXPECT_NE(order.machines.front(), "n-0");
+      EXPECT_GT(now, 14) << "a worker that executes would have lost its lease";
+      EXPECT_LT(now, 30) << "by 33.9 it must be gone";
+      ++back;
+    }
+  }
+  EXPECT_EQ(back, 2);
+}
+
+// A process that stood still has heard nobody meanwhile: no machine is held to be silent for that.
+TEST_F(LeaderTest, AfterStandingStillItListensBeforeMachinesGoBackForACancellation) {
+  Leader leader = lead(snapshot({job_entry("j-1", 4)}));
+  hear(leader, 1, 1);
+  ASSERT_TRUE(leader.advance(1).commit);
+  leader.on_settled(outcome(state::Outcome::ok), 1.1);
+  hear(leader, 1, 2);
+  leader.advance(2.2);
+  hear_running(leader, 1, 3);
+  leader.advance(3.2);
+  state::Entry cancelled = job_entry("j-1", 4, true);
+  leader.on_jobs({{cancelled.key, cancelled.value, 60}}, 4);
+  leader.advance(4);
+  EXPECT_EQ(returned(leader.advance(60)), 0);
+  hear(leader, 1, 60.2);
+  for (double now = 60.5; now < 90; now += 0.5) {
+    hear(leader, 1, now);
+    EXPECT_EQ(returned(leader.advance(now)), 0) << now;
+  }
+}
+
+// What was returned counts as ended. An answer to a report of it, should it live on, would extend
+// its lease, and with it whatever runs there.
+TEST_F(LeaderTest, AReturnedMachineIsNotAnswered) {
+  Leader leader = lead(snapshot({job_entry("j-1", 1)}));
+  hear(leader, 1, 1);
+  leader.on_returned({"n-1"}, 2);
+  bool answered = false;
+  const auto answerer = [&](const wire::Json&) { answered = true; };
+  EXPECT_EQ(leader.on_report(report(1, 30), answerer, 3), ReportVerdict::returned);
+  EXPECT_EQ(leader.on_report(report(2, 30), answerer, 3), ReportVerdict::taken);
+  leader.advance(3.2);
+  leader.advance(4.5);
+  EXPECT_TRUE(answered) << "of the other";
+  workers::Report deposes = report(2, 31);
+  deposes.baton = kBaton + 1;
+  EXPECT_EQ(leader.on_report(deposes, answerer, 5), ReportVerdict::deposed);
+}
+
 // The users' first meeting: past the bound no report is answered, not even a copy; and what a
 // member has told as cancelled is stopped before anything else, from the next answer on.
 TEST_F(LeaderTest, ItAnswersWorkersOnlyAsFarAsItKnowsCancellations) {
@@ -768,8 +838,9 @@
   Leader leader = lead(snapshot({}));
   workers::Report newer = report(1, 1);
   newer.baton = kBaton + 1;
-  EXPECT_FALSE(leader.on_report(
-      newer, [](const wire::Json&) {}, 1));
+  EXPECT_EQ(leader.on_report(
+                newer, [](const wire::Json&) {}, 1),
+            ReportVerdict::deposed);
   EXPECT_TRUE(leader.deposed());
 }
 
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -233,16 +233,17 @@
   }
   if (auto* in = std::get_if<ReportIn>(&command.what)) {
     const auto reply = in->reply;
+    const auto answer = [reply](const wire::Json& body) {
+      reply->set_value(body.is_null() ? wire::Reply{kMayNotAnswer, {{"error", "not current"}}}
+                                      : wire::Reply{200, body});
+    };
     const bool ours = leader_ && leader_->cluster().baton == command.baton;
-    if (!ours || !leader_->on_report(
-                     in->report,
-                     [reply](const wire::Json& body) {
-                       reply->set_value(body.is_null()
-                                            ? wire::Reply{kMayNotAnswer, {{"error", "not current"}}}
-                                            : wire::Reply{200, body});
-                     },
-                     now)) {
+    const ReportVerdict verdict =
+        ours ? leader_->on_report(in->report, answer, now) : ReportVerdict::deposed;
+    if (verdict == ReportVerdict::deposed) {
       reply->set_value({503, {{"error", "not leading"}}});
+    } else if (verdict == ReportVerdict::returned) {
+      reply->set_value({503, {{"error", "this machine was returned"}}});
     }
     return;
   }
@@ -283,6 +284,7 @@
     leader_.reset();
     return;
   }
+  if (outbox.read_jobs) read_jobs_again_ = true;
   if (outbox.commit) commits_.push({baton, outbox.commit->transaction});
   if (!outbox.ask_told.empty()) ask_told_.push({baton, std::move(outbox.ask_told)});
   using What = LookUp::What;
@@ -358,6 +360,7 @@
     std::uint64_t position = 0;
     bool loaded = false;
     while (campaign_.standing().baton == baton) {
+      if (read_jobs_again_.exchange(false)) position = 0;
       if (position == 0) {
         const double asked_at = steady_now();
         auto jobs = read_all("job/", &position);
@@ -470,40 +473,18 @@
   commands_.push({baton, ListRead{std::move(machines), asked_at}});
 }
 
-// Hires first: work waits for them. Returns go together: one call a machine took a minute and a
-// half for the fleet of a grown site, which was charged meanwhile.
-Node::CloudWork Node::next_work(std::deque<CloudWork>& waiting) {
-  const auto hire = std::find_if(waiting.begin(), waiting.end(), [](const CloudWork& work) {
-    return work.order.kind == CloudOrder::Kind::hire;
-  });
-  if (hire != waiting.end()) {
-    CloudWork work = std::move(*hire);
-    waiting.erase(hire);
-    return work;
-  }
-  CloudWork work = std::move(waiting.front());
-  waiting.pop_front();
-  while (!waiting.empty() && work.order.machines.size() + waiting.front().order.machines.size() <=
-                                 cloud::kMostPerReturn) {
-    const auto& more = waiting.front().order.machines;
-    work.order.machines.insert(work.order.machines.end(), more.begin(), more.end());
-    waiting.pop_front();
-  }
-  return work;
-}
-
 void Node::deal_with_cloud() {
   double catalog_at = -1e9;
   double list_at = -1e9;
-  std::deque<CloudWork> waiting;
+  std::deque<CloudCall> waiting;
   for (;;) {
-    for (CloudWork& work :
+    for (CloudCall& work :
          cloud_work_.take(std::chrono::duration<double>(waiting.empty() ? 0.5 : 0.05))) {
       waiting.push_back(std::move(work));
     }
     // Read after the wait: what a new lead asks for at once must not be taken for an old one's.
     const std::uint64_t baton = campaign_.standing().baton;
-    std::erase_if(waiting, [&](const CloudWork& work) { return work.baton != baton; });
+    std::erase_if(waiting, [&](const CloudCall& call) { return call.token != baton; });
     double now = steady_now();
     // Nodes that do not lead need the machine types too, to tell what can never run; they take
     // them from the state service, and from the cloud only while nobody has stored them.
@@ -526,9 +507,9 @@
       }
     }
     // After standing still it may be another's: nothing is rented or returned on a view from
-    // before.
-    if (!waiting.empty() && campaign_.is_sure_of(baton)) {
-      const CloudWork work = next_work(waiting);
+    // before, but for the sake of a cancellation.
+    if (has_urgent_call(waiting) || (!waiting.empty() && campaign_.is_sure_of(baton))) {
+      const CloudCall work = take_next_call(waiting);
       cloud_turn();
       if (work.order.kind == CloudOrder::Kind::hire) {
         const cloud::Hired hired = cloud_.hire(work.order.hire);
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -107,10 +107,6 @@
     std::uint64_t baton = 0;
     std::vector<double> windows;
   };
-  struct CloudWork {
-    std::uint64_t baton = 0;
-    CloudOrder order;
-  };
   struct LookUp {
     enum class What { end, back, claims, stale, drains } what = What::end;
     std::uint64_t baton = 0;
@@ -143,9 +139,9 @@
   void commit();
   void look_up();
   void look_for_stale(std::uint64_t baton);
+  std::atomic<bool> read_jobs_again_ = false;  // for the watch: the owner has lost a change
   void deal_with_cloud();
   void read_machines(std::uint64_t baton);
-  static CloudWork next_work(std::deque<CloudWork>& waiting);
   void cloud_turn();
   void greet();
   void ask_told();
@@ -171,7 +167,7 @@
   Queue<Command> commands_;
   Queue<Commit> commits_;
   Queue<LookUp> look_ups_;
-  Queue<CloudWork> cloud_work_;
+  Queue<CloudCall> cloud_work_;
   Queue<Greeting> greetings_;
   Queue<AskTold> ask_told_;
   state::Bucket cloud_bucket_;
--- a/src/jobs/door.cpp
+++ b/src/jobs/door.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "leadership/staleness.h"
 #include "state/clock.h"
 
 namespace reachramp::jobs {
@@ -29,8 +30,10 @@
 Door::Door(state::Client& state, const settings::Platform& platform, peers::Members& members,
            levels::Book& book, peers::Told& told, CatalogSource catalog)
     : state_(state),
+      confirms_at_once_(leadership::bound_holds(platform.workers)),
       reads_(state, platform.state_limits.rps * kAskShare / (1.0 + platform.members.size()),
-             4 * static_cast<std::size_t>(std::max(1, platform.lasting().txn_ops))),
+             4 * static_cast<std::size_t>(std::max(1, platform.lasting().txn_ops)),
+             confirms_at_once_),
       platform_(platform),
       members_(members),
       book_(book),
@@ -62,11 +65,16 @@
   return {status, {{"ref", id}, {"phase", phase}, {"done", done}, {"running", running}}};
 }
 
+// Not by an older state: a node of an earlier version may have told the user of the cancellation.
+wire::Reply Door::describe_cancelled(const std::string& id, std::uint32_t done) {
+  return confirms_at_once_ ? tell(200, id, kCancelled, done) : unsure();
+}
+
 wire::Reply Door::describe(const std::string& id, const Lookup& lookup) {
   switch (lookup.presence) {
     case Presence::live: {
       const Header& header = lookup.header;
-      if (header.cancelled) return tell(200, id, kCancelled, header.done);
+      if (header.cancelled) return describe_cancelled(id, header.done);
       return tell(200, id, header.running > 0 ? "running" : "pending", header.done, header.running);
     }
     case Presence::ended:
@@ -136,7 +144,7 @@
     spdlog::info("job {} accepted: class {} team {} tasks {}", id, header.spec.job_class,
                  header.spec.team, header.spec.tasks);
     reads_.remember(id, header, committed.epoch);
-    return tell(201, id, header.cancelled ? kCancelled : "pending");
+    return tell(201, id, header.cancelled && confirms_at_once_ ? kCancelled : "pending");
   }
   if (committed.outcome != Outcome::conflict) return unsure();
   return known_or(id, unsure());
--- a/src/jobs/door.h
+++ b/src/jobs/door.h
@@ -34,6 +34,8 @@
   // What the jobs that it needs say of it: whether one of them is cancelled, or a refusal.
   std::variant<bool, wire::Reply> look_at_needs(const Spec& spec);
   wire::Reply describe(const std::string& id, const Lookup& lookup);
+  // Of a job whose header says so, and whose end is not stored yet.
+  wire::Reply describe_cancelled(const std::string& id, std::uint32_t done);
   // The one way in which a user is told of a job. That it is cancelled is noted before.
   wire::Reply tell(int status, const std::string& id, std::string_view phase,
                    std::uint32_t done = 0, std::uint32_t running = 0);
@@ -42,6 +44,10 @@
   state::Committed commit(state::Transaction transaction);
 
   state::Client& state_;
+  // Whether users are told of a cancellation before its tasks are proven to be over. Not where a
+  // lease may outlast cancel_s: there no bound on the leader's answers could keep the promise
+  // (leadership/staleness.h), and they are told once the job's end is stored.
+  const bool confirms_at_once_;
   Reads reads_;
   const settings::Platform& platform_;
   peers::Members& members_;
--- a/src/jobs/reads.cpp
+++ b/src/jobs/reads.cpp
@@ -23,18 +23,19 @@
 constexpr std::size_t kMostUnknown = 6;
 constexpr double kLeastRate = 4;
 
-bool is_final(const Lookup& lookup) {
-  return lookup.presence == Presence::ended ||
-         (lookup.presence == Presence::live && lookup.header.cancelled);
-}
-
 }  // namespace
 
-Reads::Reads(state::Client& state, double rps, std::size_t conditions)
+Reads::Reads(state::Client& state, double rps, std::size_t conditions, bool cancelled_is_final)
     : state_(state),
       most_(std::max<std::size_t>(1, conditions)),
+      cancelled_is_final_(cancelled_is_final),
       bucket_(std::max(rps, kLeastRate), std::max(rps, kLeastRate)) {}
 
+bool Reads::is_final(const Lookup& lookup) const {
+  return lookup.presence == Presence::ended ||
+         (cancelled_is_final_ && lookup.presence == Presence::live && lookup.header.cancelled);
+}
+
 // A job moves once, from job/ to end/, in one transaction. Reading in that order, "absent" twice
 // means that it was not accepted when the question was asked.
 Lookup Reads::read(const std::string& id) {
--- a/src/jobs/reads.h
+++ b/src/jobs/reads.h
@@ -28,7 +28,9 @@
 class Reads {
  public:
   // Questions may take so many requests a second, and a request so many conditions.
-  Reads(state::Client& state, double rps, std::size_t conditions);
+  // `cancelled_is_final`: a header that says cancelled is not looked at again; else only the job's
+  // end is final.
+  Reads(state::Client& state, double rps, std::size_t conditions, bool cancelled_is_final = true);
 
   // Reads now, alone.
   Lookup read(const std::string& id);
@@ -55,9 +57,11 @@
   std::optional<Lookup> known(const std::string& id);
   void keep(const std::string& id, const Lookup& lookup);
   bool may_read(double until);
+  bool is_final(const Lookup& lookup) const;
 
   state::Client& state_;
   const std::size_t most_;
+  const bool cancelled_is_final_;
   std::mutex mutex_;
   state::Bucket bucket_;
   int reading_ = 0;
--- a/src/pipelines/needs.cpp
+++ b/src/pipelines/needs.cpp
@@ -67,7 +67,7 @@
     doomed = doomed || need.fate == Fate::cancelled;
   }
   cluster.expect(job, {});
-  if (doomed && !job.cancelled) cluster.cancel(index, now);
+  if (doomed && !job.cancelled) cluster.cancel(index, {.latest = now});
   settle(cluster, job.spec.id, job.cancelled ? Fate::cancelled : Fate::live, now);
 }
 
@@ -84,7 +84,7 @@
       }
       if (became == Fate::cancelled && waited && !job.cancelled) {
         spdlog::info("job {} is cancelled with {}", job.spec.id, name);
-        cluster.cancel(index, now);
+        cluster.cancel(index, {.latest = now});
         news.emplace_back(job.spec.id, Fate::cancelled);
       } else if (waited && !job.waits()) {
         spdlog::info("job {} may begin", job.spec.id);
--- a/src/pipelines/needs_test.cpp
+++ b/src/pipelines/needs_test.cpp
@@ -126,7 +126,7 @@
   EXPECT_EQ(job(sweep).start_by, (std::vector<double>{80, 130}));
   EXPECT_EQ(job(0).start_by.front(), 68);
   EXPECT_EQ(job(0).priority, jobs::Priority::high);
-  cluster_.cancel(push, 3);
+  cluster_.cancel(push, {.latest = 3});
   urge(cluster_);
   EXPECT_EQ(job(0).priority, jobs::Priority::normal);
   EXPECT_TRUE(job(0).start_by.empty());
@@ -201,7 +201,7 @@
       cluster.remove_job(index);
       settle(cluster, name(i), Fate::cancelled, 1);
     } else if (cancels) {
-      cluster.cancel(index, 1);
+      cluster.cancel(index, {.latest = 1});
       settle(cluster, name(i), Fate::cancelled, 1);
       cancel(i, cancel);
     } else if (!cluster.jobs[index]->waits()) {
--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -44,7 +44,8 @@
   }
 }
 
-Index Cluster::add_job(const jobs::Header& header, std::uint64_t stamp, double seen_at) {
+Index Cluster::add_job(const jobs::Header& header, std::uint64_t stamp, double seen_at,
+                       CancellationTime cancelled_at) {
   Index index;
   if (free_jobs_.empty()) {
     index = static_cast<Index>(jobs.size());
@@ -78,7 +79,7 @@
   job_index[job.spec.id] = index;
   jobs[index] = std::move(made);
   news.insert(index);
-  if (header.cancelled) cancel(index, seen_at);
+  if (header.cancelled) cancel(index, cancelled_at);
   return index;
 }
 
@@ -263,15 +264,16 @@
   attempt.wind_down_s = wind_down_s;
 }
 
-void Cluster::cancel(Index index, double now) {
+void Cluster::cancel(Index index, CancellationTime at) {
   Job& job = *jobs[index];
   job.cancelled = true;
+  job.cancelled_at = at;
   job.down.clear();
   for (auto& [task, attempt] : job.attempts) {
     attempt.stopping = true;
     attempt.wind_down_s = 0;
   }
-  release_unsent(index, now);
+  release_unsent(index, at.latest);
   notice_over(index);
 }
 
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -76,6 +76,14 @@
   Fate fate = Fate::unknown;
 };
 
+// When a user was first told that a job is cancelled, by the leader's steady clock: not before
+// `earliest` (minus infinity: how long ago cannot be said), and at `latest` at the latest, as far
+// as this leader can tell.
+struct CancellationTime {
+  double earliest = -std::numeric_limits<double>::infinity();
+  double latest = 0;
+};
+
 struct Job {
   jobs::Spec spec;
   Index team = kNone;
@@ -84,6 +92,7 @@
   std::uint64_t stamp = 0;
   std::uint64_t born = 0;
   bool cancelled = false;
+  CancellationTime cancelled_at;
   // Cancelled by a member's word; its header is yet to be seen, and nothing conditional on the one
   // that is known can be stored.
   bool hearsay = false;
@@ -178,11 +187,12 @@
   std::uint32_t reserved = 0;
   // Kept for large tasks, of which none needs it now: instead of going back it serves small ones.
   bool lent = false;
-  bool was_lent = false;  // since it last had work
-  bool runs = false;      // the cloud lists it as running, whether or not we have heard from it
-  double known_at = 0;    // when it was certainly rented
-  double rented_at = 0;   // when its charge began, as well as we know
-  double heard_at = -1;   // the last report
+  bool was_lent = false;       // since it last had work
+  bool urgent_return = false;  // its return has been requested ahead of all other calls
+  bool runs = false;     // the cloud lists it as running, whether or not we have heard from it
+  double known_at = 0;   // when it was certainly rented
+  double rented_at = 0;  // when its charge began, as well as we know
+  double heard_at = -1;  // the last report
   std::uint64_t tenure = 0;
   std::uint64_t tick = 0;
   bool ours = false;  // the worker has seen our baton
@@ -282,7 +292,9 @@
   bool has_room(Index job, std::uint32_t task, std::uint64_t attempt, Index host) const;
   // What was intended is stored: the task may start.
   void make_durable(Job& job, std::uint32_t task);
-  Index add_job(const jobs::Header& header, std::uint64_t stamp, double seen_at);
+  // `cancelled_at`: if the header says so.
+  Index add_job(const jobs::Header& header, std::uint64_t stamp, double seen_at,
+                CancellationTime cancelled_at = {});
   void remove_job(Index index);
   Job* job(const std::string& id);
   Index add_host(const std::string& name, double now);
@@ -298,7 +310,7 @@
   // The attempt is proven to be over.
   void end_attempt(Index job, std::uint32_t task, double now);
   void mark_done(Index job, std::uint32_t task, double now);
-  void cancel(Index job, double now);
+  void cancel(Index job, CancellationTime at);
   // Asks for the attempt's end; whoever stops first sets how long it may wind down.
   void stop(Index job, std::uint32_t task, double wind_down_s, bool voluntary = false);
   // The task's attempt runs.
--- a/src/state/timeline.cpp
+++ b/src/state/timeline.cpp
@@ -19,6 +19,7 @@
 }  // namespace
 
 void Timeline::note(std::uint64_t epoch, double now) {
+  if (!first_noted_) first_noted_ = epoch;
   if (marks_.empty() || epoch > marks_.back().stamp) {
     // Between two marks close by, one or the other is soon enough.
     if (!marks_.empty() && now - marks_.back().at < kMarkEvery_s) return;
@@ -59,6 +60,15 @@
   return before.at + (by->at - before.at) * part;
 }
 
+std::optional<double> Timeline::not_before(std::uint64_t stamp) const {
+  if (!first_noted_ || stamp <= *first_noted_) return std::nullopt;
+  const auto by =
+      std::lower_bound(marks_.begin(), marks_.end(), stamp,
+                       [](const Mark& mark, std::uint64_t s) { return mark.stamp < s; });
+  if (by == marks_.begin()) return std::nullopt;
+  return std::prev(by)->at;
+}
+
 wire::Json Timeline::encode(double now) const {
   wire::Json marks = wire::Json::array();
   for (const Mark& mark : marks_) {
--- a/src/state/timeline.h
+++ b/src/state/timeline.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,10 @@
   // When the stamp was given, at the latest; `now` for one that no mark has reached yet.
   double time_of(std::uint64_t stamp, double now) const;
 
+  // When the stamp was given, at the earliest; nothing for one from before this process began to
+  // look, since how long ago that was nobody may know.
+  std::optional<double> not_before(std::uint64_t stamp) const;
+
   // Marks as [stamp, milliseconds before `now`], the oldest first.
   wire::Json encode(double now) const;
 
@@ -40,6 +45,7 @@
   void thin(double now);
 
   std::vector<Mark> marks_;
+  std::optional<std::uint64_t> first_noted_;  // the stamp of this process's own first mark
 };
 
 }  // namespace reachramp::state
--- a/src/state/timeline_test.cpp
+++ b/src/state/timeline_test.cpp
@@ -20,6 +20,36 @@
   }
 };
 
+// What must not be taken for younger than it is: never later than the stamp was given, and unknown
+// for a stamp from before this process began to look, whatever an earlier leader wrote of it.
+RC_GTEST_PROP(Timeline, TheEarliestTimeOfAStampIsNeverLaterThanTheStamp, ()) {
+  History world;
+  for (int i = 0; i < 20; ++i) {
+    world.now += 1;
+    world.change();
+  }
+  Timeline earlier;
+  earlier.note(world.epoch, world.now);
+  const std::uint64_t written = world.epoch;
+  Timeline timeline;
+  world.now += 30;
+  world.change();
+  const std::uint64_t first = world.epoch;
+  timeline.note(first, world.now);
+  timeline.inherit(earlier.encode(world.now), written, world.now);
+  const int steps = *rc::gen::inRange(1, 200);
+  for (int step = 0; step < steps; ++step) {
+    world.now += *rc::gen::inRange(1, 30) / 10.0;
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i) world.change();
+    if (*rc::gen::inRange(0, 3) > 0) timeline.note(world.epoch, world.now);
+  }
+  for (std::uint64_t stamp = 1; stamp <= world.epoch; ++stamp) {
+    const auto earliest = timeline.not_before(stamp);
+    RC_ASSERT(earliest.has_value() == (stamp > first));
+    if (earliest) RC_ASSERT(*earliest <= world.given[stamp]);
+  }
+}
+
 // Through any number of leaders who saw nothing themselves, each reading what the last one wrote:
 // no stamp seems older than it is by more than marks lie apart, and none loses more than the time
 // in which nobody led and the last few seconds before.
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -124,6 +124,36 @@
   cluster.end_attempt(job_index, piece.task, now);
 }
 
+// The attempt that the worker lists, if it is one that may be there.
+const Attempt* listed_attempt(const Cluster& cluster, Index host_index, const Piece& piece) {
+  const auto found = cluster.job_index.find(piece.job);
+  if (found == cluster.job_index.end()) return nullptr;
+  const auto& attempts = cluster.jobs[found->second]->attempts;
+  const auto at = attempts.find(piece.task);
+  if (at == attempts.end()) return nullptr;
+  const bool same = at->second.number == piece.attempt && at->second.host == host_index;
+  return same ? &at->second : nullptr;
+}
+
+// Tasks that the report lists as not yet ended and that no attempt of ours is for. To stop one is
+// harmless however old the report is: no attempt gets its number again.
+std::vector<Exited> unknown_tasks(const Cluster& cluster, Index host_index, const Report& report) {
+  std::vector<Exited> unknown;
+  for (const Piece& piece : report.pieces) {
+    if (piece.state == PieceState::exited) continue;
+    if (listed_attempt(cluster, host_index, piece) != nullptr) continue;
+    unknown.push_back({piece.job, piece.task, piece.attempt});
+  }
+  return unknown;
+}
+
+void add_stops(const std::vector<Exited>& tasks, std::vector<Order>& orders) {
+  for (const Exited& task : tasks) {
+    if (orders.size() >= kMostOrders) return;
+    orders.push_back({Verb::stop, task.job, task.task, task.attempt, 0});
+  }
+}
+
 // A task runs that we hold no attempt for. It blocks its task until it is gone.
 bool adopt(Cluster& cluster, Index job_index, Index host_index, const Piece& piece, double now) {
   Job& job = *cluster.jobs[job_index];
@@ -142,14 +172,8 @@
   const Exited entry{piece.job, piece.task, piece.attempt};
   const auto found = cluster.job_index.find(piece.job);
   Job* job = found == cluster.job_index.end() ? nullptr : cluster.jobs[found->second].get();
-  Attempt* attempt = nullptr;
-  if (job != nullptr) {
-    const auto at = job->attempts.find(piece.task);
-    if (at != job->attempts.end() && at->second.number == piece.attempt &&
-        at->second.host == host_index) {
-      attempt = &at->second;
-    }
-  }
+  const bool placed_here = listed_attempt(cluster, host_index, piece) != nullptr;
+  Attempt* attempt = placed_here ? &job->attempts.at(piece.task) : nullptr;
   if (piece.state == PieceState::exited) {
     host.exited.push_back(entry);
     if (attempt != nullptr) {
@@ -298,8 +322,10 @@
   // A report without our baton may be of any age: held back by a cut since long before we led, it
   // can list as exited, or lack, what an earlier leader has started again since (a simulated
   // cluster ran a task twice that way). It shows that the machine lives; the next one, which
-  // carries our baton, shows what is on it.
+  // carries our baton, shows what is on it. What must not run there is stopped at once: the answer
+  // extends its lease.
   if (report.baton != cluster.baton) {
+    host.strangers = unknown_tasks(cluster, index, report);
     if (channel == Channel::report) {
       note_whether_heeded(cluster, host, report, new_tenure, was_ours, now);
     }
@@ -336,13 +362,19 @@
   return orders;
 }
 
+std::vector<Order> stops_for(const Cluster& cluster, const Report& report) {
+  const auto host = cluster.host_index.find(report.host);
+  if (host == cluster.host_index.end()) return {};
+  std::vector<Order> orders = stops_for(cluster, host->second);
+  add_stops(unknown_tasks(cluster, host->second, report), orders);
+  return orders;
+}
+
 std::vector<Order> orders_for(Cluster& cluster, Index host_index, bool may_start, double now) {
   Host& host = *cluster.hosts[host_index];
   // Stops first: of many orders some may have to wait for the next report, but these.
   std::vector<Order> orders = stops_for(cluster, host_index);
-  for (const Exited& stranger : host.strangers) {
-    orders.push_back({Verb::stop, stranger.job, stranger.task, stranger.attempt, 0});
-  }
+  add_stops(host.strangers, orders);
   // What has ended is forgotten by the worker only once its outcome is durable.
   for (const Exited& exited : host.exited) {
     if (orders.size() >= kMostOrders) break;
--- a/src/workers/report_test.cpp
+++ b/src/workers/report_test.cpp
@@ -62,6 +62,39 @@
   Index job_ = 0;
 };
 
+// A report that is not newer, such as one that a direct response has overtaken, is answered all the
+// same, and the answer extends its worker's lease: what must not run there is stopped by it.
+TEST_F(Proof, AReportThatIsNotNewerIsAnsweredWithStops) {
+  const Index host = started();
+  EXPECT_TRUE(hear(report(5, {piece(PieceState::running)})) == host);
+  cluster_.cancel(job_, {.latest = 5});
+  const Report late = report(4, {piece(PieceState::running),
+                                 {"j-gone", 2, 3, PieceState::running, Cause::none},
+                                 {"j-gone", 1, 3, PieceState::exited, Cause::done}});
+  EXPECT_EQ(hear(late), placement::kNone);
+  const std::vector<Order> orders = stops_for(cluster_, late);
+  ASSERT_EQ(orders.size(), 2u) << "the cancelled task, and the one of a job that has ended";
+  for (const Order& order : orders) EXPECT_EQ(order.verb, Verb::stop);
+  EXPECT_EQ(orders[0].job, "j-1");
+  EXPECT_EQ(orders[1].job, "j-gone");
+  EXPECT_TRUE(
+      stops_for(cluster_, {"n-never", "", "small", "a", true, 1, 1, kBaton, {}, {}}).empty());
+}
+
+// The first answer of a new leader goes to a report that does not carry its token yet. It extends
+// the lease, so it stops a task whose job's record is gone.
+TEST_F(Proof, TheFirstAnswerOfALeaderStopsWhatIsUnknown) {
+  const Report before =
+      report(3, {{"j-gone", 0, 1, PieceState::running, Cause::none}}, 1, kBaton - 1);
+  const Index host = hear(before);
+  ASSERT_NE(host, placement::kNone);
+  const std::vector<Order> orders = orders_for(cluster_, host, true, 3);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, Verb::stop);
+  EXPECT_EQ(orders[0].job, "j-gone");
+  EXPECT_TRUE(cluster_.jobs[job_]->attempts.empty()) << "such a report proves nothing";
+}
+
 TEST_F(Proof, NothingStartsBeforeItsIntentIsDurable) {
   const Index host = hear(report(1));
   cluster_.place(job_, 0, 1, host, 1);
@@ -157,7 +190,7 @@
   const Index host = started();
   cluster_.place(job_, 1, 1, host, 1);
   hear(report(2, {piece(PieceState::running)}));
-  cluster_.cancel(job_, 2);
+  cluster_.cancel(job_, {.latest = 2});
   EXPECT_FALSE(cluster_.jobs[job_]->attempts.contains(1));
   const auto orders = orders_for(cluster_, host, true, 2);
   ASSERT_EQ(orders.size(), 1u);
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -49,7 +49,7 @@
       for (const bool spot : {true, false}) fleet.cloud.capacity[{"small", zone, spot}] = 200;
     }
     fleet.cloud.limits = {20, 1};
-    fleet.workers = {0.2, 5, 10, 2, kCancel_s};
+    fleet.workers = {0.2, 5, 10, 2, cancel_s()};
     fleet.teams = {{"red", 0, 0, 0, 0}};
     for (const auto& [node, address] : controllers) {
       fleet.controllers[node] = {"127.0.0.1", workers_way(address.port)};
@@ -70,7 +70,7 @@
            << "[[facts.teams]]\nname = \"red\"\n"
               "[facts.workers]\nreport_s = 0.2\nlease_s = 5.0\ngang_wait_s = 10.0\n"
               "gang_peer_s = 2.0\ncancel_s = "
-           << kCancel_s
+           << cancel_s()
            << "\n"
               "[facts.state]\nrps = 500.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 8\n"
               "[facts.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n"
@@ -85,6 +85,8 @@
   // The port under which the node reaches another, or the state service, which is no node.
   virtual std::uint16_t way(int, std::uint16_t to, int) { return to; }
 
+  virtual double cancel_s() const { return kCancel_s; }
+
   // The port under which workers reach a node.
   virtual std::uint16_t workers_way(std::uint16_t to) { return to; }
 
@@ -167,6 +169,10 @@
     return status;
   }
 
+  int submit_once(int node, const Json& body) {
+    return ask(node, "POST", "/submissions", &body).status;
+  }
+
   // Known already: a first answer may have been lost.
   bool accepts(int node, const Json& body) {
     const int status = submit(node, body);
@@ -584,6 +590,62 @@
   EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
+// All machines with tasks of a job hang, which are more than a third, its user is told that it is
+// cancelled, and the leader ends: whoever leads next has the machines returned in time, though it
+// has listened to them for a shorter time than makes them silent.
+TEST_F(EndToEnd, CancelledTasksOnMachinesThatHangAreGoneInTimeAcrossAChangeOfLeaders) {
+  forever_.insert("j-1");
+  ASSERT_TRUE(accepts(0, job("j-1", 12)));
+  ASSERT_TRUE(within(30, [&] { return cloud_->tasks_of("j-1") == 12; }));
+  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "running"; }));
+  ASSERT_GT(cloud_->hang_machines_of("j-1"), 0u);
+  const int killed = leader();
+  ASSERT_GE(killed, 0);
+  const int other = (killed + 1) % kNodes;
+  ASSERT_EQ(ask(other, "POST", "/submissions/j-1/withdraw").body.value("phase", ""), "aborted");
+  const double told_at = state::steady_now();
+  std::this_thread::sleep_for(8s);
+  kill_node(killed);
+  start(killed);
+  EXPECT_TRUE(within(told_at + kCancel_s - state::steady_now(),
+                     [&] { return cloud_->tasks_of("j-1") == 0; }));
+  for (int i = 0; i < kNodes; ++i) {
+    EXPECT_TRUE(within(30, [&] { return phase(i, "j-1") == "aborted"; })) << i;
+  }
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
+// A lease outlasts the time in which cancelled tasks must be gone.
+class ShortCancelTime : public EndToEnd {
+ protected:
+  double cancel_s() const override { return 2; }
+};
+
+// No bound could keep the promise there: users are told once it is kept already.
+TEST_F(ShortCancelTime, UsersAreToldOfACancellationOnceItsTasksAreGone) {
+  forever_.insert("j-1");
+  ASSERT_TRUE(accepts(0, job("j-1", 8)));
+  ASSERT_TRUE(accepts(1, job("j-2", 2)));
+  ASSERT_TRUE(within(30, [&] { return cloud_->tasks_of("j-1") == 8; }));
+  ASSERT_GT(cloud_->hang_machines_of("j-1"), 0u);
+  EXPECT_EQ(ask(0, "POST", "/submissions/j-1/withdraw").status, 503);
+  EXPECT_EQ(ask(1, "GET", "/submissions/j-1").status, 503) << "neither the old state nor the new";
+  EXPECT_EQ(submit_once(2, job("j-1", 8)), 503);
+  std::size_t left = 8;
+  EXPECT_TRUE(within(60, [&] {
+    const bool told =
+        ask(0, "POST", "/submissions/j-1/withdraw").body.value("phase", "") == "aborted";
+    if (told) left = cloud_->tasks_of("j-1");
+    return told;
+  }));
+  EXPECT_EQ(left, 0u);
+  for (int i = 0; i < kNodes; ++i) EXPECT_EQ(phase(i, "j-1"), "aborted");
+  EXPECT_TRUE(accepts(0, after("j-3", 1, {"j-1"}))) << "cancelled from the first";
+  EXPECT_TRUE(within(30, [&] { return phase(1, "j-3") == "aborted"; }));
+  EXPECT_TRUE(within(60, [&] { return phase(2, "j-2") == "done"; }));
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
 class Drained : public EndToEnd {
  protected:
   Drained() {
--- a/test/simulation_test.cpp
+++ b/test/simulation_test.cpp
@@ -27,6 +27,7 @@
 #include "leadership/holder.h"
 #include "model/state_service.h"
 #include "peers/told.h"
+#include "workers/cancelled_tasks.h"
 
 namespace reachramp::test {
 namespace {
@@ -36,6 +37,10 @@
 using controller::Outbox;
 using wire::Json;
 
+// Until a leader looks at its machines again and the cloud has answered, also when its first answer
+// is lost.
+constexpr double kReturnTakes_s = 3;
+
 settings::Platform platform() {
   settings::Platform p;
   p.node_name = "node-0";
@@ -89,6 +94,7 @@
   int processes = 0;  // that have run here
   // What the process there has told users as cancelled.
   std::unique_ptr<peers::Told> told;
+  state::Timeline timeline;  // what the process there has seen of the state service
   // What it last claimed, and when that process was last alive.
   std::uint32_t claimed = 0;
   double claimed_until = 0;
@@ -258,6 +264,10 @@
       accepted_ = state::Bucket(platform_.state_next.write_rps, platform_.state_next.write_rps);
     }
     for (Node& node : nodes_) live(node);
+    for (Node& node : nodes_) {
+      const bool refused = is_out() || (is_refused() && &node == seat_);
+      if (node.alive && !refused) node.timeline.note(store_.epoch(), now_);
+    }
     if (chance(0.01)) operate();
     if (chance(0.002) && !is_refused()) refuse(between(0, 6), chance(0.3) ? 0 : between(0, 70));
     if (!is_refused() && chance(0.004)) depose();
@@ -327,6 +337,7 @@
     if (!node.alive && now_ >= node.back_at) {
       node.alive = true;
       node.told = std::make_unique<peers::Told>(platform_.workers.cancel_s, now_);
+      node.timeline = {};
       ++node.processes;
       claim(node);
       bury_predecessor(node);
@@ -527,7 +538,9 @@
       snapshot.zones = found(zones::kZonesKey);
     }
     if (!old && !level.empty()) snapshot.level = level.front();
+    snapshot.timeline = seat_->timeline;
     snapshot.timeline.note(store_.epoch(), now_);
+    led_since_ = now_;
     position_ = store_.epoch();
     levels::Speech speech;
     speech.newest = seat_->newest;
@@ -753,7 +766,7 @@
     if (chance(0.0004)) machine.deaf_until = now_ + between(3, 60);
     if (chance(0.0004)) machine.mute_until = now_ + between(3, 60);
     if (chance(0.001)) {
-      machine.hung_until = now_ + between(1, 25);
+      machine.hung_until = now_ + between(1, chance(0.3) ? 70 : 25);
       for (auto& [key, piece] : machine.pieces) piece.until += machine.hung_until - now_;
       return;
     }
@@ -840,7 +853,7 @@
     // A former leader that has not noticed yet still gets some reports.
     Leader* to = former_ && chance(0.5) ? former_.get() : leader_.get();
     if (to == nullptr) return;
-    const bool accepted = to->on_report(
+    const auto verdict = to->on_report(
         report,
         [this, name, life, report, sent_at](const Json& body) {
           if (body.is_null() || chance(0.04)) return;
@@ -849,6 +862,7 @@
           });
         },
         now_);
+    const bool accepted = verdict != controller::ReportVerdict::deposed;
     if (to == former_.get()) {
       if (accepted) former_->advance(now_);
       if (!accepted || chance(0.1)) former_.reset();
@@ -939,6 +953,7 @@
   // ---- rules
 
   void check_everything() {
+    note_unknown_cancellations();
     std::map<std::string, double> used;
     for (const auto& [name, machine] : machines_) {
       if (!alive(machine)) continue;
@@ -947,8 +962,9 @@
         const std::string id = key.first.substr(0, key.first.rfind('/'));
         used[specs_.at(id).team] += specs_.at(id).cpus;
         const auto cancelled = cancelled_at_.find(id);
-        if (cancelled != cancelled_at_.end() && now_ >= machine.hung_until &&
-            now_ - cancelled->second > platform_.workers.cancel_s) {
+        if (cancelled != cancelled_at_.end() &&
+            now_ - cancelled->second > platform_.workers.cancel_s &&
+            (now_ >= machine.hung_until || could_return_machines(id, cancelled->second))) {
           break_rule("ran_cancelled " + key.first);
         }
       }
@@ -978,6 +994,30 @@
     }
   }
 
+  // Which cancellations the leader, if there is one, does not know of now.
+  void note_unknown_cancellations() {
+    for (const auto& [id, at] : cancelled_at_) {
+      bool knows = leader_ != nullptr;
+      if (leader_) {
+        const placement::Cluster& cluster = leader_->cluster();
+        const auto job = cluster.job_index.find(id);
+        knows = job == cluster.job_index.end() || cluster.jobs[job->second]->cancelled;
+      }
+      if (!knows) unknown_at_[id] = now_;
+    }
+  }
+
+  // Whether somebody has led for long enough, and known of the cancellation, to have a machine that
+  // hangs returned before its time was over. Without a leader, or with one that nobody who knows
+  // of the cancellation can reach, nothing can be done about such a machine.
+  bool could_return_machines(const std::string& id, double cancelled_at) const {
+    const double latest = cancelled_at + platform_.workers.cancel_s;
+    const double listening = 2 * workers::report_allowance_s(platform_.workers);
+    const auto unknown = unknown_at_.find(id);
+    return leader_ && led_since_ + listening + kReturnTakes_s < latest &&
+           (unknown == unknown_at_.end() || unknown->second + kReturnTakes_s < latest);
+  }
+
   // When the first was cancelled of it and of all that it needs, directly or through others.
   std::optional<double> falls(const std::string& id) const {
     std::optional<double> at;
@@ -1013,6 +1053,8 @@
   std::vector<workers::Report> kept_;  // copies for the next leader
   std::map<std::string, jobs::Spec> specs_;
   std::map<std::string, double> cancelled_at_;
+  std::map<std::string, double> unknown_at_;  // cancelled jobs: when the leader last did not know
+  double led_since_ = 0;
   std::map<std::string, bool> endings_;
   std::set<std::string> done_, seen_;
 };
