--- /dev/null
+++ b/test/answers_test.cpp
@@ -0,0 +1,139 @@
+// Users ask at all nodes at once, repeat submissions and cancel, right after a job was accepted,
+// ended or cancelled; the answers of all nodes are one history.
+#include <atomic>
+#include <optional>
+
+#include "answer_history.h"
+#include "process_cluster.h"
+
+namespace reachramp::test {
+namespace {
+
+class Answers : public CutOff {
+ protected:
+  // A user with connections of their own. Each two follow the same jobs.
+  class User {
+   public:
+    User(Answers& cluster, int number) : cluster_(cluster), number_(number) {
+      for (int node = 0; node < kNodes; ++node) {
+        clients_.push_back(std::make_unique<wire::Client>(
+            wire::Address{"127.0.0.1", cluster.serve_[node]}, 1, wire::kBodyLimit));
+      }
+    }
+
+    // Submits a job, and follows it with questions at all nodes until it has ended.
+    void follow_one_job(int round) {
+      const std::string id = std::string("j-").append(std::to_string(number_ / 2 * 1000 + round));
+      const Json body = cluster_.job(id, 1 + round % 3);
+      cluster_.cloud_->upload({jobs::decode_spec(body), 0.3, false});
+      const bool cancels = (number_ / 2 + round) % 3 == 0;
+      int node = number_ % kNodes;
+      for (int step = 0; step < 400 && !cluster_.stopping_; ++step) {
+        const JobView known = cluster_.history_.known(id);
+        if (known == JobView::done || known == JobView::cancelled) break;
+        node = (node + 1) % kNodes;
+        const std::string path = "/submissions/" + id;
+        if (known == JobView::unknown || step % 5 == 4)
+          ask(node, id, "POST", "/submissions", &body);
+        if (known == JobView::live && cancels) ask(node, id, "POST", path + "/withdraw", nullptr);
+        for (int other = 0; other < kNodes; ++other) ask(other, id, "GET", path, nullptr);
+      }
+      // Once more everywhere, after its end was told.
+      for (int other = 0; other < kNodes; ++other) {
+        ask(other, id, "GET", "/submissions/" + id, nullptr);
+        ask(other, id, "POST", "/submissions", &body);
+        ask(other, id, "POST", "/submissions/" + id + "/withdraw", nullptr);
+      }
+    }
+
+   private:
+    void ask(int node, const std::string& id, const char* method, const std::string& path,
+             const Json* body) {
+      const JobView known = cluster_.history_.known(id);
+      const wire::Answer answer = clients_[node]->call(method, path, body, 3000ms);
+      const std::optional<JobView> view = view_of(answer);
+      if (view) cluster_.history_.take(id, known, *view, name(node));
+    }
+
+    // Nothing where the node cannot tell, or did not answer.
+    static std::optional<JobView> view_of(const wire::Answer& answer) {
+      if (!answer.answered) return std::nullopt;
+      if (answer.status == 400 || answer.status == 404 || answer.status == 422) {
+        return JobView::unknown;
+      }
+      if (answer.status != 200 && answer.status != 201) return std::nullopt;
+      const std::string phase = answer.body.value("phase", "");
+      if (phase == "done") return JobView::done;
+      return phase == "aborted" ? JobView::cancelled : JobView::live;
+    }
+
+    Answers& cluster_;
+    const int number_;
+    std::vector<std::unique_ptr<wire::Client>> clients_;
+  };
+
+  // So many users at once, each with one job after another, while `trouble` goes on.
+  template <class Trouble>
+  void play(int users, Trouble trouble) {
+    std::vector<std::thread> threads;
+    for (int number = 0; number < users; ++number) {
+      threads.emplace_back([this, number] {
+        User user(*this, number);
+        for (int round = 0; !stopping_; ++round) user.follow_one_job(round);
+      });
+    }
+    trouble();
+    stopping_ = true;
+    for (std::thread& thread : threads) thread.join();
+  }
+
+  // Answers of the state service to this node are held back; what it sent is carried out.
+  void lose_answers(int node, bool lose) {
+    for (auto& [from, other, proxy] : ways_) {
+      if (from == other && from == node) proxy->hold_answers(lose);
+    }
+  }
+
+  std::atomic<bool> stopping_ = false;
+  AnswerHistory history_;
+};
+
+TEST_F(Answers, OfAllNodesAreOneHistoryWhileLeadersEnd) {
+  ASSERT_TRUE(accepts(0, job("j-1", 1)));
+  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "done"; }));
+  play(6, [&] {
+    for (int round = 0; round < 3; ++round) {
+      std::this_thread::sleep_for(3s);
+      const int node = leader();
+      if (node < 0) continue;
+      kill_node(node);
+      start(node);
+    }
+    std::this_thread::sleep_for(3s);
+  });
+  EXPECT_EQ(history_.broken(), std::vector<std::string>{});
+  EXPECT_GT(history_.answers(), 200u);
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
+// A transaction is carried out at once and only its answer is lost, while other nodes read what it
+// wrote and tell users.
+TEST_F(Answers, OfAllNodesAreOneHistoryWhileAnswersOfTheStateServiceAreLost) {
+  ASSERT_TRUE(accepts(0, job("j-1", 1)));
+  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "done"; }));
+  play(6, [&] {
+    for (int round = 0; round < 6; ++round) {
+      const int node = round % kNodes;
+      lose_answers(node, true);
+      std::this_thread::sleep_for(round % 2 == 0 ? 500ms : 2500ms);
+      lose_answers(node, false);
+      std::this_thread::sleep_for(1s);
+    }
+  });
+  EXPECT_EQ(history_.broken(), std::vector<std::string>{});
+  EXPECT_GT(history_.answers(), 200u);
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
+}  // namespace
+}  // namespace reachramp::test
