--- a/lab/loopback/fleet_server.cpp
+++ b/lab/loopback/fleet_server.cpp
@@ -70,9 +70,9 @@
   left_.clear();
 }
 
-void FleetServer::upload(Field::Job job) {
+void FleetServer::upload(const Field::Job& job) {
   std::lock_guard lock(mutex_);
-  field_.upload(std::move(job));
+  field_.upload(job);
 }
 
 std::size_t FleetServer::tasks_of(const std::string& job) {
--- a/lab/loopback/fleet_server.h
+++ b/lab/loopback/fleet_server.h
@@ -34,7 +34,7 @@
   FleetServer(const FleetServer&) = delete;
 
   // As users do, beside submitting it.
-  void upload(Field::Job job);
+  void upload(const Field::Job& job);
   // Something done to the cloud, or asked of it, while nothing else is.
   template <class Use>
   auto with_cloud(Use use) {
--- a/lab/loopback/nodes.cpp
+++ b/lab/loopback/nodes.cpp
@@ -49,7 +49,8 @@
   return file;
 }
 
-Nodes::Nodes(std::string program, std::string folder, std::vector<settings::Platform> platforms)
+Nodes::Nodes(std::string program, std::string folder,
+             const std::vector<settings::Platform>& platforms)
     : program_(std::move(program)), folder_(std::move(folder)) {
   for (const settings::Platform& platform : platforms) {
     std::ofstream file(folder_ + "/" + platform.node_name + ".toml");
--- a/lab/loopback/nodes.h
+++ b/lab/loopback/nodes.h
@@ -14,7 +14,7 @@
 class Nodes {
  public:
   // The platform's file of each node is written to `folder`, and so is its log.
-  Nodes(std::string program, std::string folder, std::vector<settings::Platform> platforms);
+  Nodes(std::string program, std::string folder, const std::vector<settings::Platform>& platforms);
   ~Nodes();  // ends those that run
   Nodes(const Nodes&) = delete;
 
--- a/lab/model/field.cpp
+++ b/lab/model/field.cpp
@@ -12,10 +12,7 @@
 
 }  // namespace
 
-void Field::upload(Job job) {
-  const std::string id = job.spec.id;
-  jobs_.try_emplace(id, std::move(job));
-}
+void Field::upload(const Job& job) { jobs_.try_emplace(job.spec.id, job); }
 
 const Field::Job* Field::find(const std::string& job) const {
   const auto at = jobs_.find(job);
--- a/lab/model/field.h
+++ b/lab/model/field.h
@@ -26,14 +26,15 @@
   struct TaskId {
     std::string job;
     std::uint32_t task = 0;
-    auto operator<=>(const TaskId&) const = default;
+    // clang-tidy 14 takes the comparison with 0 that is generated for one with a null pointer.
+    auto operator<=>(const TaskId&) const = default;  // NOLINT(modernize-use-nullptr)
   };
   // What becomes of a gang's task next.
   enum class Fate { wait, run, done, halted, mates_gone, incomplete };
 
   explicit Field(const settings::Workers& rules) : rules_(rules) {}
 
-  void upload(Job job);
+  void upload(const Job& job);
   const Job* find(const std::string& job) const;
 
   bool done(const TaskId& task) const { return done_.contains(task); }
--- a/lab/model/state_service.cpp
+++ b/lab/model/state_service.cpp
@@ -33,7 +33,7 @@
 }
 
 std::string key_of(const Json& item, const char* field) {
-  const std::string key = wire::text(item, field);
+  std::string key = wire::text(item, field);
   if (!is_key(key)) throw wire::BadMessage(std::string(field) + ": not a key");
   return key;
 }
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -142,7 +142,7 @@
     const leadership::Standing standing = campaign_.standing();
     const bool detour = origin == Origin::worker;
     if (standing.baton != 0) {
-      const wire::Reply reply = ask_owner(standing.baton, report);
+      wire::Reply reply = ask_owner(standing.baton, report);
       if (reply.status != kMayNotAnswer || !detour) return reply;
     }
     if (origin == Origin::relay) break;
--- a/src/drains/rules.cpp
+++ b/src/drains/rules.cpp
@@ -181,7 +181,8 @@
       rules.budget = budget;
     }
   }
-  for (const auto& [list, team] : own) {
+  for (const auto& [list, name] : own) {
+    const std::string& team = name;
     const bool known = std::any_of(platform.teams.begin(), platform.teams.end(),
                                    [&](const settings::Team& one) { return one.name == team; });
     if (!known) refuse(path, *list, "team", "no such team: " + team);
