--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -232,14 +232,14 @@
     deposed_ = true;
     return ReportVerdict::deposed;
   }
-  // Whatever runs there counts as ended: its lease must not be extended.
-  if (tombstones_.contains(report.host)) return ReportVerdict::returned;
-  if (workers::absorb(cluster_, report, workers::Channel::report, now)) {
+  // What runs on a machine that was returned counts as ended: it is not believed.
+  const bool returned = tombstones_.contains(report.host);
+  if (!returned && workers::absorb(cluster_, report, workers::Channel::report, now)) {
     replan_ = true;
     parked_.push_back({report.host, std::move(answerer), now});
   } else if (entitled_to_answer(answerer, now)) {
-    // Not newer than what is known, such as a report that a direct response has overtaken. The
-    // answer extends the lease all the same, so it carries what must stop; nothing may start on it.
+    // Or it is not newer than what is known, as when a direct response has overtaken it. The answer
+    // extends the lease all the same, so it carries what must stop; nothing may start on it.
     answerer(workers::encode_response(cluster_.baton, workers::stops_for(cluster_, report)));
   }
   return ReportVerdict::taken;
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -26,9 +26,8 @@
 
 // What becomes of a worker's report.
 enum class ReportVerdict {
-  taken,     // its response goes to the answerer, now or later
-  deposed,   // the worker has seen a higher token: this leader's time is over
-  returned,  // of a machine that is gone: no response, which would extend a lease
+  taken,    // its response goes to the answerer, now or later
+  deposed,  // the worker has seen a higher token: this leader's time is over
 };
 
 // What the edges are to do. Taken and emptied by the owner after each batch of commands.
--- a/src/controller/leader_test.cpp
+++ b/src/controller/leader_test.cpp
@@ -167,22 +167,21 @@
   }
 }
 
-// What was returned counts as ended. An answer to a report of it, should it live on, would extend
-// its lease, and with it whatever runs there.
-TEST_F(LeaderTest, AReturnedMachineIsNotAnswered) {
+// What was returned counts as ended. An answer to a report of it, should it live on, extends its
+// lease, so it stops whatever runs there, tasks of jobs that go on elsewhere too.
+TEST_F(LeaderTest, AReturnedMachineIsToldToStopAllThatItLists) {
   Leader leader = lead(snapshot({job_entry("j-1", 1)}));
   hear(leader, 1, 1);
   leader.on_returned({"n-1"}, 2);
-  bool answered = false;
-  const auto answerer = [&](const wire::Json&) { answered = true; };
-  EXPECT_EQ(leader.on_report(report(1, 30), answerer, 3), ReportVerdict::returned);
-  EXPECT_EQ(leader.on_report(report(2, 30), answerer, 3), ReportVerdict::taken);
-  leader.advance(3.2);
-  leader.advance(4.5);
-  EXPECT_TRUE(answered) << "of the other";
-  workers::Report deposes = report(2, 31);
-  deposes.baton = kBaton + 1;
-  EXPECT_EQ(leader.on_report(deposes, answerer, 5), ReportVerdict::deposed);
+  workers::Report late = report(1, 30);
+  late.pieces.push_back({"j-1", 0, 1, workers::PieceState::running, workers::Cause::none});
+  wire::Json body;
+  const auto answerer = [&](const wire::Json& answer) { body = answer; };
+  EXPECT_EQ(leader.on_report(late, answerer, 3), ReportVerdict::taken);
+  ASSERT_EQ(body.at("orders").size(), 1u);
+  EXPECT_EQ(body.at("orders")[0].at("verb"), "stop");
+  EXPECT_EQ(body.at("orders")[0].at("piece"), "j-1/0");
+  EXPECT_FALSE(leader.cluster().host_index.contains("n-1")) << "not believed";
 }
 
 // The users' first meeting: past the bound no report is answered, not even a copy; and what a
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -242,8 +242,6 @@
         ours ? leader_->on_report(in->report, answer, now) : ReportVerdict::deposed;
     if (verdict == ReportVerdict::deposed) {
       reply->set_value({503, {{"error", "not leading"}}});
-    } else if (verdict == ReportVerdict::returned) {
-      reply->set_value({503, {{"error", "this machine was returned"}}});
     }
     return;
   }
--- a/src/workers/report.cpp
+++ b/src/workers/report.cpp
@@ -364,9 +364,11 @@
 
 std::vector<Order> stops_for(const Cluster& cluster, const Report& report) {
   const auto host = cluster.host_index.find(report.host);
-  if (host == cluster.host_index.end()) return {};
-  std::vector<Order> orders = stops_for(cluster, host->second);
-  add_stops(unknown_tasks(cluster, host->second, report), orders);
+  const bool known = host != cluster.host_index.end();
+  const Index index = known ? host->second : kNone;
+  std::vector<Order> orders;
+  if (known) orders = stops_for(cluster, index);
+  add_stops(unknown_tasks(cluster, index, report), orders);
   return orders;
 }
 
--- a/src/workers/report.h
+++ b/src/workers/report.h
@@ -70,7 +70,8 @@
 std::vector<Order> stops_for(const Cluster& cluster, Index host);
 
 // The stops that answer a report which is not newer than what is known: those for its machine, and
-// one for each task that it lists and that no attempt of ours is for.
+// one for each task that it lists and that no attempt of ours is for; of a machine that is gone,
+// for each task that it lists.
 std::vector<Order> stops_for(const Cluster& cluster, const Report& report);
 
 }  // namespace reachramp::workers
--- a/src/workers/report_test.cpp
+++ b/src/workers/report_test.cpp
@@ -77,8 +77,9 @@
   for (const Order& order : orders) EXPECT_EQ(order.verb, Verb::stop);
   EXPECT_EQ(orders[0].job, "j-1");
   EXPECT_EQ(orders[1].job, "j-gone");
-  EXPECT_TRUE(
-      stops_for(cluster_, {"n-never", "", "small", "a", true, 1, 1, kBaton, {}, {}}).empty());
+  Report gone = late;
+  gone.host = "n-never";
+  EXPECT_EQ(stops_for(cluster_, gone).size(), 2u) << "all that it lists as not yet ended";
 }
 
 // The first answer of a new leader goes to a report that does not carry its token yet. It extends
