Tests hold the ports that they give to their processes

Cause: free_port() bound a port and let it go again, so the kernel could give it to an outgoing connection or to the next caller before the node listened on it. Change: PortReservations keeps each port bound, without listening, as long as the fixture lives. No check is eased.

--- a/src/jobs/reads_test.cpp
+++ b/src/jobs/reads_test.cpp
@@ -32,7 +32,8 @@
 TEST(Reads, NoAnswerIsOlderThanWhatWasStoredBeforeTheQuestion) {
   const settings::StateLimits limits{5000, 5000, 8, 8};
   lab::StateServer server(limits, 1);
-  const std::uint16_t port = test::free_port();
+  test::PortReservations ports;
+  const std::uint16_t port = ports.reserve();
   server.open("all", port);
   state::Client writer_client({"127.0.0.1", port}, 5000), client({"127.0.0.1", port}, 5000);
   Reads reads(client, 2000, 32);
@@ -116,7 +117,8 @@
 
 // Where the service does not answer, nobody is held back for long, and nothing piles up.
 TEST(Reads, WithoutAServiceTheAnswerIsUnsure) {
-  state::Client client({"127.0.0.1", test::free_port()}, 100);
+  test::PortReservations ports;
+  state::Client client({"127.0.0.1", ports.reserve()}, 100);
   Reads reads(client, 100, 32);
   std::vector<std::thread> users;
   for (int user = 0; user < 8; ++user) {
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -170,7 +170,7 @@
  protected:
   std::uint16_t way(int from, std::uint16_t to, int other) override {
     if (from != other) return CutOff::way(from, to, other);
-    const std::uint16_t port = free_port();
+    const std::uint16_t port = ports_.reserve();
     state_->open(name(from), port);
     return port;
   }
@@ -238,7 +238,7 @@
 class WorkersCut : public EndToEnd {
  protected:
   std::uint16_t workers_way(std::uint16_t to) override {
-    const std::uint16_t port = free_port();
+    const std::uint16_t port = ports_.reserve();
     ways_.push_back(std::make_unique<Proxy>(port, to));
     return port;
   }
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -40,12 +40,12 @@
 class EndToEnd : public ::testing::Test {
  protected:
   void SetUp() override {
-    const std::uint16_t state_port = free_port();
-    const std::uint16_t cloud_port = free_port();
+    const std::uint16_t state_port = ports_.reserve();
+    const std::uint16_t cloud_port = ports_.reserve();
     std::map<std::string, wire::Address> controllers;
     for (int i = 0; i < kNodes; ++i) {
-      serve_[i] = free_port();
-      peer_[i] = free_port();
+      serve_[i] = ports_.reserve();
+      peer_[i] = ports_.reserve();
       controllers[name(i)] = {"127.0.0.1", serve_[i]};
       clients_[i] = std::make_unique<wire::Client>(controllers[name(i)], 1, wire::kBodyLimit);
     }
@@ -62,7 +62,7 @@
     for (const auto& [node, address] : controllers) {
       fleet.controllers[node] = {"127.0.0.1", workers_way(address.port)};
     }
-    fleet.worker_port = free_port();
+    fleet.worker_port = ports_.reserve();
     cloud_ = std::make_unique<lab::FleetServer>(fleet, cloud_port, 1);
     for (int i = 0; i < kNodes; ++i) {
       std::ofstream file(settings(i));
@@ -202,6 +202,7 @@
   void pipelines(const std::string& name);
 
   const char* program_ = REACHRAMP_PROGRAM;
+  PortReservations ports_;
   std::uint16_t serve_[kNodes], peer_[kNodes];
   pid_t pids_[kNodes] = {};
   std::unique_ptr<wire::Client> clients_[kNodes];
@@ -272,7 +273,7 @@
 class CutOff : public EndToEnd {
  protected:
   std::uint16_t way(int from, std::uint16_t to, int other) override {
-    const std::uint16_t port = free_port();
+    const std::uint16_t port = ports_.reserve();
     ways_.push_back({from, other, std::make_unique<Proxy>(port, to)});
     return port;
   }
