Nobody stands still for 50 s beside room that is kept for others

A trial that told why jobs wait beside room showed those of over 87 s: they had lost their tasks at 163 s, got one each after our 70 s, at 233 s, and the state service was out from 231 to 251 s, so that nothing could start. Change: 50 s instead of 70 s; the record, the next report and the fetch of the image have to fit before the users' 90 s, and a short outage as well.

--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -24,8 +24,10 @@
 // The users expect first tasks within four minutes of a job's acceptance. Room must still come, and
 // a change of leaders may lie between.
 constexpr double kBeginWithin_s = 120;
-// Room that is kept for others is not kept from a job that has had no task for so long.
-constexpr double kStandStill_s = 70;
+// Room that is kept for others is not kept from a job that has had no task for so long. The users
+// allow 90 s, and its record, the next report and the fetch of its image come after; an outage of
+// the state service that began meanwhile as well.
+constexpr double kStandStill_s = 50;
 // Work that has waited so long is served whether or not it can still be in time.
 constexpr double kServeWithin_s = 240;
 
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -245,13 +245,13 @@
     cluster_.hosts[0]->heard_at = now;
     return plan(cluster_, now);
   };
-  EXPECT_EQ(at(71), 0) << "it is kept for large tasks";
-  EXPECT_EQ(at(73), 2) << "one task of each";
-  EXPECT_EQ(at(74), 0);
+  EXPECT_EQ(at(51), 0) << "it is kept for large tasks";
+  EXPECT_EQ(at(53), 2) << "one task of each";
+  EXPECT_EQ(at(54), 0);
   EXPECT_EQ(cluster_.jobs[small]->attempts.size(), 1u);
   cluster_.end_attempt(small, 0, 80);
-  EXPECT_EQ(at(149), 0) << "it stands still since 80";
-  EXPECT_EQ(at(151), 1);
+  EXPECT_EQ(at(129), 0) << "it stands still since 80";
+  EXPECT_EQ(at(131), 1);
   EXPECT_EQ(cluster_.jobs[other]->attempts.size(), 1u);
   cluster_.end_attempt(gang, 0, 152);
   cluster_.mark_done(gang, 0, 152);
--- a/src/workers/cancelled_tasks_test.cpp
+++ b/src/workers/cancelled_tasks_test.cpp
@@ -136,9 +136,10 @@
   const double since = tenths(0, 3000);
   const double deadline = proof_deadline(workers, at, since);
   const double proof = 2 * report_allowance_s(workers);
-  RC_ASSERT(deadline >= std::min(100 + proof, since + proof));
+  constexpr double kRounding_s = 1e-9;  // the same sums are formed here in another order
+  RC_ASSERT(deadline >= std::min(100 + proof, since + proof) - kRounding_s);
   if (workers.cancel_s - kCloud_s >= proof && since <= 100 + workers.cancel_s - kCloud_s) {
-    RC_ASSERT(deadline <= 100 + workers.cancel_s - kCloud_s);
+    RC_ASSERT(deadline <= 100 + workers.cancel_s - kCloud_s + kRounding_s);
   }
 }
 
