The leader's transaction in flight and its write budget become modules

Cause: Leader held some fifty members and every decision (issue on readable code). Behaviour, records and log lines stay.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -7,8 +7,6 @@
 #include "controller/stale.h"
 #include "pipelines/needs.h"
 #include "placement/plan.h"
-#include "placement/waits.h"
-#include "zones/what_if.h"
 
 namespace reachramp::controller {
 
@@ -30,39 +28,11 @@
 constexpr double kBuyAtMostEvery = 1.0;
 // Starts go out only while the watch on jobs has lately shown that we know of every cancellation.
 constexpr double kJobsCurrentFor = 3.0;
-constexpr double kWritesKept = 0.85;  // the rest is for users' own writes at other nodes
-// Fewer could be a burst of users' own writes.
-constexpr std::size_t kThrottlesTell = 3;
-constexpr double kThrottlesWithin_s = 5;
 constexpr double kLookUpAgain_s = 1;
-constexpr double kReadBackAgain_s = 0.5;
 constexpr double kReadJobsAgain_s = 2;
 // A mark of the timeline may be so much later than the service's answer that it was taken from.
 constexpr double kAnswerOnItsWay_s = 2;
-constexpr int kMostConflicts = 12;
-constexpr std::size_t kLeastOps = 2;  // a job's end
-// What a leader that has seen nothing yet will not know of: at most this much of every job's age,
-// and the time in which nobody led.
-constexpr double kTellTimeline_s = 5;
-constexpr double kTellShares_s = 60;
-constexpr std::size_t kTellWaiting = 3;  // of the jobs that wait longest, each with its reason
-constexpr double kFirstShares_s = 5;     // after taking over, when most machines have been heard
-constexpr double kStoreShares_s = 30;
-constexpr double kPassShares_s = 1;
-
-// A key that the transaction writes, that nobody but a leader does, and the stamp that it had:
-// while this leader's baton is valid, another stamp shows that the transaction was applied. Users'
-// headers and what is removed prove nothing.
-std::optional<std::pair<std::string, std::uint64_t>> proof_key(
-    const state::Transaction& transaction) {
-  for (const state::Write& write : transaction.writes) {
-    if (!write.value || write.key.starts_with("job/")) continue;
-    for (const auto& condition : transaction.conditions) {
-      if (condition.first == write.key) return condition;
-    }
-  }
-  return std::nullopt;
-}
+constexpr double kFirstShares_s = 5;  // after taking over, when most machines have been heard
 
 }  // namespace
 
@@ -74,12 +44,12 @@
       cluster_(platform_, baton,
                snapshot.all_upgraded ? jobs::Format::compact : jobs::Format::whole),
       buyer_(policy),
-      writes_(platform.state_limits.write_rps * kWritesKept, platform.state_limits.write_rps),
+      writes_(platform.state_limits, platform.state_next),
       speech_(speech),
-      told_shares_at_(now - kTellShares_s + kFirstShares_s),
+      log_shares_at_(now + kFirstShares_s),
       stored_shares_at_(now),
       timeline_(snapshot.timeline),
-      told_timeline_at_(now),
+      stored_timeline_at_(now),
       most_ops_(platform.lasting().txn_ops),
       since_(now),
       listening_since_(now),
@@ -326,7 +296,7 @@
     ended_.erase(id);
     const auto at = cluster_.job_index.find(id);
     if (at != cluster_.job_index.end() && cluster_.jobs[at->second]->stamp < change.stamp &&
-        !in_flight_) {
+        transaction_.is_empty()) {
       cluster_.remove_job(at->second);
       pipelines::settle(cluster_, id, Fate::unknown, now);
       reurge_ = true;
@@ -367,20 +337,6 @@
   reurge_ = replan_ = rebuy_ = true;
 }
 
-// The limits that were announced have come, without notice: from now on we keep to them.
-void Leader::note_throttled(int times, double now) {
-  if (under_next_rate_ || platform_.state_next.write_rps >= platform_.state_limits.write_rps)
-    return;
-  throttled_at_.insert(throttled_at_.end(), static_cast<std::size_t>(times), now);
-  std::erase_if(throttled_at_, [&](double at) { return now - at > kThrottlesWithin_s; });
-  if (throttled_at_.size() < kThrottlesTell) return;
-  spdlog::info("the state service takes fewer changes: {} a second",
-               platform_.state_next.write_rps);
-  under_next_rate_ = true;
-  writes_ =
-      state::Bucket(platform_.state_next.write_rps * kWritesKept, platform_.state_next.write_rps);
-}
-
 void Leader::on_job_list(const std::vector<state::Entry>& entries, double now) {
   bool complete = true;
   for (const state::Entry& entry : entries) {
@@ -389,183 +345,6 @@
   jobs_complete_ = complete;
 }
 
-void Leader::on_settled(const state::Committed& committed, double now) {
-  if (!in_flight_) return;
-  look_at_parked_ = true;
-  note_throttled(committed.throttled, now);
-  // "Malformed" tells of this sending alone: an earlier one may have come before the limits did.
-  if (committed.outcome == Outcome::unknown ||
-      (committed.outcome == Outcome::refused && unsettled_)) {
-    // It may yet be applied. Sent again as it is, under the same conditions, it is applied at most
-    // once; anything else could be overtaken by it.
-    unsettled_ = resend_ = true;
-    retry_commit_at_ = now + 0.3 * std::min(++commit_failures_, 5);
-    return;
-  }
-  if (unsettled_ && committed.outcome == Outcome::conflict) {
-    // Applied before, or refused for good: stamps never come back. A key that only leaders write
-    // tells.
-    if (proof_key(in_flight_->transaction)) {
-      refused_again_ = committed;
-      read_back_ = true;
-      retry_commit_at_ = now;
-      return;
-    }
-  }
-  settle(committed, unsettled_ && committed.outcome != Outcome::ok, now);
-}
-
-void Leader::on_read_back(const state::Found& found, const state::Found& leader, double now) {
-  if (!in_flight_ || !refused_again_) return;
-  const auto is_known = [](const state::Found& read) {
-    return read.outcome == Outcome::ok || read.outcome == Outcome::absent;
-  };
-  if (!is_known(found) || !is_known(leader)) {
-    read_back_ = true;
-    retry_commit_at_ = now + kReadBackAgain_s;
-    return;
-  }
-  // A conflict need not name all keys that differ. Whoever leads now may have written this one.
-  if (leader.outcome == Outcome::absent || leader.entry.stamp != cluster_.baton) {
-    spdlog::info("baton {} is no longer valid", cluster_.baton);
-    deposed_ = true;
-    return;
-  }
-  const auto key = proof_key(in_flight_->transaction);
-  state::Committed committed = *std::exchange(refused_again_, std::nullopt);
-  if (found.outcome == Outcome::ok && found.entry.stamp != key->second) {
-    committed = {};
-    committed.outcome = Outcome::ok;
-    committed.epoch = found.entry.stamp;
-  }
-  settle(committed, false, now);
-}
-
-void Leader::settle(const state::Committed& committed, bool confused, double now) {
-  if (committed.outcome == Outcome::ok) {
-    for (const auto& [id, fate] : in_flight_->ended) {
-      const Job* job = cluster_.job(id);
-      if (fate == Fate::cancelled && job != nullptr) accounts_.cancelled(*job);
-    }
-  }
-  const Settlement settlement =
-      confused ? Settlement::confused : ledger_.settle(cluster_, *in_flight_, committed, now);
-  const Batch batch = std::move(*in_flight_);
-  in_flight_.reset();
-  unsettled_ = false;
-  switch (settlement) {
-    case Settlement::done:
-      commit_failures_ = conflicts_ = 0;
-      timeline_.note(committed.epoch, now);
-      for (const Note& note : batch.notes) {
-        if (note.key != levels::kLevelKey) continue;
-        level_ = levels::decode_stored(note.value);
-        ledger_.step_to(level_.writes);
-        stale_asked_at_ = claims_asked_at_ = -1e9;
-        spdlog::info("level {}: written {}, {}", level_.level, level_.writes,
-                     level_.settled ? "settled" : "what is older is being moved");
-      }
-      replan_ = true;
-      for (const auto& [id, fate] : batch.ended) {
-        if (committed.epoch > watched_to_) ended_[id] = committed.epoch;
-        reurge_ = true;
-      }
-      break;
-    case Settlement::too_large:
-      // Certainly not applied, and it never will be as it is: first by fewer changes, then without
-      // the records that it consists of.
-      if (batch.transaction.writes.size() > kLeastOps) {
-        most_ops_ = kLeastOps;
-      } else {
-        ledger_.avoid(batch, now);
-        most_ops_ = platform_.lasting().txn_ops;
-      }
-      break;
-    case Settlement::again:
-      retry_commit_at_ = now + 0.1 * std::min(++commit_failures_, 8);
-      // Cancellations come one by one. So many together mean that we are wrong about a header, and
-      // that nothing would ever be stored again.
-      if (committed.outcome == Outcome::conflict && ++conflicts_ >= kMostConflicts) {
-        spdlog::error("transactions fail again and again: giving up the lead");
-        out_.resign = true;
-      }
-      break;
-    case Settlement::deposed:
-      spdlog::info("baton {} is no longer valid", cluster_.baton);
-      deposed_ = true;
-      break;
-    case Settlement::confused:
-      // Reading everything anew under a new baton is the one way to be sure again.
-      spdlog::info("the outcome of a transaction is not certain: giving up the lead");
-      out_.resign = true;
-      break;
-  }
-}
-
-// One write every few seconds, while there are jobs whose age it tells.
-void Leader::tell_timeline(double now) {
-  if (!levels::has(level_, levels::kAges) || now - told_timeline_at_ < kTellTimeline_s ||
-      cluster_.job_index.empty()) {
-    return;
-  }
-  told_timeline_at_ = now;
-  const state::Json value = timeline_.encode(now);
-  if (state::fits(value, platform_.lasting().value_kb)) {
-    ledger_.write({state::kTimelineKey, value});
-  }
-}
-
-void Leader::tell_shares(double now) {
-  accounts_.pass(cluster_, now);
-  if (now - told_shares_at_ >= kTellShares_s) {
-    told_shares_at_ = now;
-    spdlog::info("served: {}", shares::describe(accounts_.report(cluster_, now)));
-    for (const Index job : placement::longest_waiting(cluster_, kTellWaiting, now)) {
-      spdlog::info("job {} waits after {:.0f} s: {}", cluster_.jobs[job]->spec.id,
-                   now - cluster_.jobs[job]->freed_at, placement::why_waits(cluster_, job, now));
-    }
-    const auto losses = zones::what_if(cluster_, placement::service_order(cluster_, now), now);
-    for (const zones::Loss& loss : losses) {
-      if (losses.size() > 1) spdlog::info("{}", zones::describe(cluster_, loss));
-    }
-  }
-  if (!levels::has(level_, levels::kShares) || shares_unreadable_ ||
-      now - stored_shares_at_ < kStoreShares_s || cluster_.job_index.empty()) {
-    return;
-  }
-  stored_shares_at_ = now;
-  const state::Json value = accounts_.encode();
-  if (state::fits(value, platform_.lasting().value_kb)) ledger_.write({shares::kSharesKey, value});
-}
-
-// Worth a transaction: room for half a full one. Before a record is put together, not after: at a
-// grown site batches were built ten times a second and thrown away for want of writes.
-void Leader::commit(double now) {
-  if (in_flight_) {
-    if (now < retry_commit_at_) return;
-    if (std::exchange(read_back_, false)) {
-      out_.read_back = proof_key(in_flight_->transaction)->first;
-    }
-    if (!resend_) return;
-    resend_ = false;
-    out_.commit = *in_flight_;
-    return;
-  }
-  if (all_upgraded_) cluster_.use_compact(now);
-  tell_timeline(now);
-  if (now - shares_passed_at_ >= kPassShares_s) {
-    shares_passed_at_ = now;
-    tell_shares(now);
-  }
-  const int affordable = std::min(most_ops_, static_cast<int>(writes_.available(now)));
-  if (now < retry_commit_at_ || affordable < std::max(1, most_ops_ / 2)) return;
-  auto batch = ledger_.next(cluster_, affordable, writes_.level(now) > 0.6, now);
-  if (!batch) return;
-  writes_.take(static_cast<double>(batch->transaction.writes.size()), now);
-  in_flight_ = std::move(batch);
-  out_.commit = *in_flight_;
-}
-
 Outbox Leader::advance(double now) {
   note_advance(now);
   if (std::exchange(reurge_, false)) {
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -13,6 +13,8 @@
 #include "acquire/buyer.h"
 #include "controller/cloud_calls.h"
 #include "controller/ledger.h"
+#include "controller/pending_transaction.h"
+#include "controller/write_budget.h"
 #include "drains/drains.h"
 #include "leadership/staleness.h"
 #include "levels/levels.h"
@@ -128,11 +130,16 @@
   void answer_parked(double now);
   bool waits_for_commit(const placement::Host& host) const;
   void gone(const std::string& name, double now);
-  void note_throttled(int times, double now);
   void commit(double now);
-  void settle(const state::Committed& committed, bool confused, double now);
-  void tell_timeline(double now);
-  void tell_shares(double now);
+  void resume_transaction(double now);
+  void settle(const PendingTransaction::Resolution& resolution, double now);
+  void note_committed(const Batch& batch, std::uint64_t epoch, double now);
+  void note_too_large(const Batch& batch, double now);
+  void note_rejected(state::Outcome outcome, double now);
+  void store_timeline(double now);
+  void pass_shares(double now);
+  void log_shares(double now);
+  void store_shares(double now);
   void drain(double now);
   void end_drains();
   void close_pools();
@@ -154,7 +161,7 @@
   Cluster cluster_;
   acquire::Buyer buyer_;
   Ledger ledger_;
-  state::Bucket writes_;
+  WriteBudget writes_;
   zones::Zones zones_;
   double zones_stored_at_ = -1e9;
   drains::Drains drains_;
@@ -174,23 +181,14 @@
   std::uint64_t accounted_to_ = 0;  // jobs born up to here are in the accounts that were read
   bool shares_unreadable_ = false;
   double shares_passed_at_ = -1e9;
-  double told_shares_at_;
+  double log_shares_at_;
   double stored_shares_at_;
   state::Timeline timeline_;
-  double told_timeline_at_;
+  double stored_timeline_at_;
   Outbox out_;
-  std::optional<Batch> in_flight_;
-  bool unsettled_ = false;  // an earlier try of the batch in flight may yet be applied
-  bool resend_ = false;
-  // How the batch in flight was refused after an earlier sending had no answer.
-  std::optional<state::Committed> refused_again_;
-  bool read_back_ = false;  // is to be asked for; one at a time, or an old answer told of a new one
-  double retry_commit_at_ = 0;
-  int commit_failures_ = 0;
+  PendingTransaction transaction_;
   int conflicts_ = 0;  // in a row
-  int most_ops_;
-  std::vector<double> throttled_at_;
-  bool under_next_rate_ = false;
+  int most_ops_;       // of one transaction
   std::map<std::string, double> looked_up_at_;
   std::vector<Parked> parked_;                // the longest waiting first
   bool look_at_parked_ = false;               // something has changed that may let answers go
--- /dev/null
+++ b/src/controller/pending_transaction.h
@@ -0,0 +1,59 @@
+// The transaction that the leader has sent and whose outcome it does not know yet. A transaction
+// without an answer may still be applied, so the same one is sent again, under the same conditions,
+// until its outcome is known: it is then applied at most once.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "controller/ledger.h"
+#include "state/client.h"
+
+namespace reachramp::controller {
+
+class PendingTransaction {
+ public:
+  // What became of the transaction. Not certain: an earlier sending may have been applied, and
+  // nothing in the store tells.
+  struct Resolution {
+    state::Committed committed;
+    bool is_certain = true;
+  };
+
+  bool is_empty() const { return !batch_; }
+  const Batch& batch() const { return *batch_; }
+  void begin(Batch batch) { batch_ = std::move(batch); }
+  // Takes the batch out; another may begin.
+  Batch finish();
+
+  // The answer to a sending. Nothing where the outcome is still open: the batch is then to be sent
+  // again, or a key is to be read first.
+  std::optional<Resolution> on_answer(const state::Committed& answer, double now);
+
+  // After a conflict that an earlier sending may itself have caused, the stamp of a key that only
+  // leaders write tells whether that sending was applied.
+  bool awaits_read_back() const { return refusal_.has_value(); }
+  void on_read_back_failed(double now);
+  // `found` was read while this leader's token was valid.
+  Resolution on_read_back(const state::Found& found);
+
+  // What is due now; each is returned once.
+  std::optional<std::string> take_read_back(double now);
+  bool take_resend(double now);
+
+  // How long the next sending waits grows with the failures in a row.
+  bool may_send(double now) const { return now >= not_before_; }
+  void note_failure(double now);
+  void note_success() { failures_ = 0; }
+
+ private:
+  std::optional<Batch> batch_;
+  bool may_be_applied_ = false;  // an earlier sending had no answer
+  bool resend_ = false;
+  bool read_back_ = false;
+  std::optional<state::Committed> refusal_;  // the conflict that the read is to explain
+  double not_before_ = 0;
+  int failures_ = 0;  // in a row
+};
+
+}  // namespace reachramp::controller
--- /dev/null
+++ b/src/controller/pending_transaction_test.cpp
@@ -0,0 +1,77 @@
+#include "controller/pending_transaction.h"
+
+#include <gtest/gtest.h>
+
+namespace reachramp::controller {
+namespace {
+
+using state::Outcome;
+
+constexpr const char* kKey = "task/j-1/0";
+constexpr std::uint64_t kStampBefore = 7;
+
+class PendingTransactionTest : public ::testing::Test {
+ protected:
+  // As after a sending whose answer was lost.
+  void send_without_answer(const std::string& key) {
+    Batch batch;
+    batch.transaction.conditions = {{key, kStampBefore}};
+    batch.transaction.writes = {{key, state::Json::object(), std::nullopt}};
+    transaction_.begin(batch);
+    EXPECT_FALSE(answer(Outcome::unknown, 0));
+    EXPECT_FALSE(transaction_.take_resend(0)) << "not at once";
+    EXPECT_TRUE(transaction_.take_resend(1));
+    EXPECT_FALSE(transaction_.take_resend(1)) << "once";
+  }
+  std::optional<PendingTransaction::Resolution> answer(Outcome outcome, double now) {
+    state::Committed committed;
+    committed.outcome = outcome;
+    return transaction_.on_answer(committed, now);
+  }
+  Outcome after_read_back(std::uint64_t stamp_found) {
+    state::Found found;
+    found.outcome = Outcome::ok;
+    found.entry.stamp = stamp_found;
+    const PendingTransaction::Resolution resolution = transaction_.on_read_back(found);
+    EXPECT_TRUE(resolution.is_certain);
+    EXPECT_FALSE(transaction_.awaits_read_back());
+    return resolution.committed.outcome;
+  }
+
+  PendingTransaction transaction_;
+};
+
+TEST_F(PendingTransactionTest, AConflictAfterALostAnswerIsExplainedByTheStampOfALeadersKey) {
+  for (const std::uint64_t stamp : {kStampBefore, kStampBefore + 1}) {
+    send_without_answer(kKey);
+    EXPECT_FALSE(answer(Outcome::conflict, 1));
+    EXPECT_EQ(transaction_.take_read_back(1), kKey);
+    EXPECT_EQ(transaction_.take_read_back(1), std::nullopt) << "one read at a time";
+    transaction_.on_read_back_failed(1);
+    EXPECT_EQ(transaction_.take_read_back(2), kKey);
+    EXPECT_EQ(after_read_back(stamp), stamp == kStampBefore ? Outcome::conflict : Outcome::ok);
+    transaction_.finish();
+    transaction_.note_success();
+  }
+}
+
+TEST_F(PendingTransactionTest, WithoutSuchAKeyTheOutcomeIsNotCertain) {
+  send_without_answer("job/j-1");
+  EXPECT_FALSE(answer(Outcome::refused, 1)) << "the first sending may have come before the limits";
+  const auto resolution = answer(Outcome::conflict, 5);
+  ASSERT_TRUE(resolution);
+  EXPECT_FALSE(resolution->is_certain);
+}
+
+TEST_F(PendingTransactionTest, AFirstAnswerIsCertain) {
+  for (const Outcome outcome : {Outcome::ok, Outcome::conflict, Outcome::refused}) {
+    transaction_.begin({});
+    const auto resolution = answer(outcome, 0);
+    ASSERT_TRUE(resolution);
+    EXPECT_TRUE(resolution->is_certain);
+    transaction_.finish();
+  }
+}
+
+}  // namespace
+}  // namespace reachramp::controller
--- /dev/null
+++ b/src/controller/write_budget.h
@@ -0,0 +1,31 @@
+// How many changes a second the leader may write to the state service. The operators may announce a
+// lower limit that comes into force without notice; it is recognised by refusals for the rate.
+#pragma once
+
+#include <vector>
+
+#include "settings/settings.h"
+#include "state/bucket.h"
+
+namespace reachramp::controller {
+
+class WriteBudget {
+ public:
+  WriteBudget(const settings::StateLimits& limits, const settings::StateLimits& announced);
+
+  void take(std::size_t writes, double now) { bucket_.take(static_cast<double>(writes), now); }
+  int available(double now) { return static_cast<int>(bucket_.available(now)); }
+  // Enough is left for records that nothing depends on.
+  bool is_ample(double now);
+  // So many transactions were refused for their rate.
+  void note_throttled(int times, double now);
+
+ private:
+  double write_rps_;
+  double announced_write_rps_;
+  state::Bucket bucket_;
+  std::vector<double> throttled_at_;
+  bool uses_announced_rate_ = false;
+};
+
+}  // namespace reachramp::controller
