A job whose machines are silent stands still since the end of their leases

Cause: a job stood still only from the proof that its tasks had ended. Those lost with a zone that is cut off are proved to have ended once it is heard again, up to a minute later, and the job then waited for our 50 s once more. Change: Cluster::may_run_until tells how long a task may have run on a machine that is not heard; a job all of whose attempts are past that stands still, and gets one more of its tasks, whatever is proved of the others later. Measured: Plan.AJobWhoseMachinesAreSilent... fails with silent machines left out. NobodyStandsStill... now says that the end at 80 s came with a report.

--- a/src/placement/cluster.cpp
+++ b/src/placement/cluster.cpp
@@ -228,16 +228,18 @@
   const bool ran = at->second.running_since >= 0 || at->second.inherited;
   if (ran && !job.done[task] && !job.cancelled) job.down[task] = {now, at->second.voluntary};
   if (!job.done[task]) job.last_attempt = std::max(job.last_attempt, at->second.number);
+  job.still_since = std::max(job.still_since, std::min(now, may_run_until(host)));
   job.attempts.erase(at);
   job.hint = std::min(job.hint, task);
-  if (job.attempts.empty()) {
-    job.gang_started = false;
-    job.still_since = now;
-  }
+  if (job.attempts.empty()) job.gang_started = false;
   touch(index, task, now);
   notice_over(index);
 }
 
+double Cluster::may_run_until(const Host& host) const {
+  return std::max(host.heard_at, host.known_at) + platform.workers.lease_s;
+}
+
 void Cluster::mark_done(Index index, std::uint32_t task, double now) {
   Job& job = *jobs[index];
   if (job.done[task]) return;
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -109,9 +109,10 @@
   std::vector<Stray> strays;
   double seen_at = 0;  // when it was accepted, as well as its stamp tells
   std::vector<Need> needs;
-  double freed_at = 0;     // when it was accepted, or the last job that it needs was done
-  double still_since = 0;  // while it has no attempts: since when, as far as this leader knows
-  double free_by = 0;      // while it waits: when that is expected; kNever: nothing is known
+  double freed_at = 0;  // when it was accepted, or the last job that it needs was done
+  // Until when an attempt that has ended may have run, as far as this leader knows.
+  double still_since = 0;
+  double free_by = 0;  // while it waits: when that is expected; kNever: nothing is known
   // The highest of its own and of all that need it.
   jobs::Priority priority = jobs::Priority::normal;
   // By when its last task must have started for each of the things expected of the job, or of one
@@ -308,6 +309,8 @@
   // Loads what earlier leaders recorded of a job's tasks: all its records, in whatever cuts.
   void inherit(Index job, std::vector<StoredRecord> records, double now);
   // The attempt is proven to be over.
+  // A worker that is not answered ends its tasks with its lease.
+  double may_run_until(const Host& host) const;
   void end_attempt(Index job, std::uint32_t task, double now);
   void mark_done(Index job, std::uint32_t task, double now);
   void cancel(Index job, CancellationTime at);
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -287,19 +287,27 @@
   return placed;
 }
 
-double still_for(const Job& job, double now) {
-  return now - std::max(job.still_since, job.freed_at);
+// How long none of its tasks can have run, what is placed on machines that are silent included.
+double still_for(const Cluster& cluster, const Job& job, double now) {
+  double ran_until = std::max(job.still_since, job.freed_at);
+  for (const auto& [task, attempt] : job.attempts) {
+    ran_until = std::max(ran_until, cluster.may_run_until(*cluster.hosts[attempt.host]));
+    if (now < ran_until) return 0;
+  }
+  return now - ran_until;
 }
 
 // The users' rule: no job is left waiting for long while a machine that fits has room and its team
 // is under its limit. Room is kept for growth, beside large tasks, and of a limit for gangs;
-// whoever has stood still for so long gets one task in it all the same, where it takes least.
+// whoever has stood still for so long gets one task in it all the same, where it takes least. A job
+// whose tasks were lost with their zone counts from the end of their leases, not from their proof.
 int place_one_beside(Cluster& cluster, const Service& service, double now) {
   std::vector<Index> still;
   for (const Index index : service.order) {
-    const Job& job = *cluster.jobs[index];
-    if (job.attempts.empty() && !job.suspect() && now >= job.not_before &&
-        job.spec.shape != jobs::Shape::gang && still_for(job, now) >= kStandStill_s) {
+    Job& job = *cluster.jobs[index];
+    if (!job.suspect() && now >= job.not_before && job.spec.shape != jobs::Shape::gang &&
+        still_for(cluster, job, now) >= kStandStill_s &&
+        cluster.next_pending(job, 0) < job.spec.tasks) {
       still.push_back(index);
     }
   }
@@ -338,7 +346,7 @@
       spdlog::info("job {}: begins after {:.1f} s", job.spec.id, now - job.freed_at);
     }
     spdlog::info("job {}: has stood still for {:.0f} s: a task in room that is kept for others",
-                 job.spec.id, still_for(job, now));
+                 job.spec.id, still_for(cluster, job, now));
     cluster.place(index, task, attempt, *host, now);
     ++placed;
   }
--- a/src/placement/plan_test.cpp
+++ b/src/placement/plan_test.cpp
@@ -249,6 +249,7 @@
   EXPECT_EQ(at(53), 2) << "one task of each";
   EXPECT_EQ(at(54), 0);
   EXPECT_EQ(cluster_.jobs[small]->attempts.size(), 1u);
+  cluster_.hosts[0]->heard_at = 80;  // the report that shows its end
   cluster_.end_attempt(small, 0, 80);
   EXPECT_EQ(at(129), 0) << "it stands still since 80";
   EXPECT_EQ(at(131), 1);
@@ -259,6 +260,31 @@
   EXPECT_EQ(at(230), 0) << "a large task could begin there";
 }
 
+// A zone is cut off with all tasks of an array. Nothing proves that they have ended until it is
+// heard again, but their users see them stand still from the end of their leases.
+TEST_F(Plan, AJobWhoseMachinesAreSilentStandsStillSinceTheEndOfTheirLeases) {
+  const Index silent = machine("small", "a", true);
+  const Index job = cluster_.add_job(header(30, 1), 1, 0);
+  cluster_.hosts[silent]->heard_at = 1;
+  ASSERT_GT(plan(cluster_, 1), 0);
+  const auto placed = cluster_.jobs[job]->attempts.size();
+  const Index large = machine("large", "b", false);
+  jobs::Header big = header(1, 30);
+  big.spec.team = "free";
+  cluster_.hosts[large]->heard_at = 2;
+  cluster_.add_job(big, 2, 2);
+  ASSERT_EQ(plan(cluster_, 2), 1);
+  const double still_from = 1 + cluster_.platform.workers.lease_s;
+  const auto at = [&](double now) {
+    cluster_.hosts[large]->heard_at = now;
+    return plan(cluster_, now);
+  };
+  EXPECT_EQ(at(still_from + 49), 0) << "the room is kept for large tasks";
+  EXPECT_EQ(at(still_from + 51), 1);
+  EXPECT_EQ(at(still_from + 52), 0) << "one of its tasks may run now";
+  EXPECT_EQ(cluster_.jobs[job]->attempts.size(), placed + 1);
+}
+
 // Own days: one machine was lent, taken back for a large task that could not use it, and lent
 // again, every second, up to 605 times, and never went back.
 TEST_F(Plan, AMachineIsNotLentAgainBeforeItHasWorked) {
