--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -321,6 +321,26 @@
   EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
 }
 
+// The same while the state service is out, so that the leader cannot renew its own lease: it rents
+// and returns nothing then, but for the sake of a cancellation.
+TEST_F(CutOff, CancelledTasksOnMachinesThatHangAreGoneInTimeInAnOutage) {
+  forever_.insert("j-1");
+  ASSERT_TRUE(accepts(0, job("j-1", 12)));
+  ASSERT_TRUE(within(30, [&] { return cloud_->tasks_of("j-1") == 12; }));
+  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "running"; }));
+  ASSERT_GT(cloud_->hang_machines_of("j-1"), 0u);
+  ASSERT_EQ(ask(0, "POST", "/submissions/j-1/withdraw").body.value("phase", ""), "aborted");
+  const double told_at = state::steady_now();
+  cut_state(true);
+  EXPECT_TRUE(within(told_at + kCancel_s - state::steady_now(),
+                     [&] { return cloud_->tasks_of("j-1") == 0; }));
+  cut_state(false);
+  for (int i = 0; i < kNodes; ++i) {
+    EXPECT_TRUE(within(60, [&] { return phase(i, "j-1") == "aborted"; })) << i;
+  }
+  EXPECT_EQ(cloud_->broken_rules(), std::vector<std::string>{});
+}
+
 // A lease outlasts the time in which cancelled tasks must be gone.
 class ShortCancelTime : public EndToEnd {
  protected:
