--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -25,9 +25,9 @@
 // a change of leaders may lie between.
 constexpr double kBeginWithin_s = 120;
 // Room that is kept for others is not kept from a job that has had no task for so long. The users
-// allow 90 s, and its record, the next report and the fetch of its image come after; an outage of
-// the state service that began meanwhile as well.
-constexpr double kStandStill_s = 50;
+// allow 90 s. Its record, the next report and the fetch of its image come after, and an outage of
+// the state service of some twenty seconds may lie between, in which nothing starts.
+constexpr double kStandStill_s = 30;
 // Work that has waited so long is served whether or not it can still be in time.
 constexpr double kServeWithin_s = 240;
 
