--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -118,7 +118,9 @@
   void tell_heard(double now);
   void find_deaf(double now);
   void buy(double now);
+  // Unless its return has been requested already.
   void give_back(Index host, const char* why);
+  void request_return(placement::Host& host, const std::string& why);
   // Machines on which a task of a cancelled job may outlive cancel_s.
   void return_for_cancellations(double now);
   // A leader that stood still has heard nobody meanwhile: it listens anew.
--- a/src/controller/leader_fleet.cpp
+++ b/src/controller/leader_fleet.cpp
@@ -145,10 +145,13 @@
 
 void Leader::give_back(Index index, const char* why) {
   Host& host = *cluster_.hosts[index];
-  if (host.phase == HostPhase::leaving) return;
+  if (host.phase != HostPhase::leaving) request_return(host, why);
+}
+
+void Leader::request_return(Host& host, const std::string& why) {
   spdlog::info("machine {} goes back: {}", host.name, why);
   host.phase = HostPhase::leaving;
-  out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}});
+  out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}, host.urgent_return});
 }
 
 void Leader::note_advance(double now) {
@@ -163,11 +166,9 @@
   for (const auto& [host_index, job_index] :
        workers::machines_past_cancellation(cluster_, listening_since_, now)) {
     Host& host = *cluster_.hosts[host_index];
-    spdlog::info("machine {} goes back: job {} is cancelled and may still run there", host.name,
-                 cluster_.jobs[job_index]->spec.id);
-    host.phase = HostPhase::leaving;
     host.urgent_return = true;
-    out_.cloud.push_back({CloudOrder::Kind::give_back, {}, {host.name}, true});
+    request_return(host, fmt::format("job {} is cancelled and may still run there",
+                                     cluster_.jobs[job_index]->spec.id));
     replan_ = rebuy_ = true;
   }
 }
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -139,7 +139,6 @@
   void commit();
   void look_up();
   void look_for_stale(std::uint64_t baton);
-  std::atomic<bool> read_jobs_again_ = false;  // for the watch: the owner has lost a change
   void deal_with_cloud();
   void read_machines(std::uint64_t baton);
   void cloud_turn();
@@ -163,7 +162,8 @@
   std::shared_ptr<const cloud::Catalog> catalog_;
   double catalog_looked_at_ = -1e9;  // in the state service, while it is not known
 
-  std::unique_ptr<Leader> leader_;  // the owner's
+  std::unique_ptr<Leader> leader_;             // the owner's
+  std::atomic<bool> read_jobs_again_ = false;  // for the watch: the owner has lost a change
   Queue<Command> commands_;
   Queue<Commit> commits_;
   Queue<LookUp> look_ups_;
--- a/src/drains/rules.cpp
+++ b/src/drains/rules.cpp
@@ -181,10 +181,10 @@
       rules.budget = budget;
     }
   }
-  for (const auto& [list, name] : own) {
-    const std::string& team = name;
-    const bool known = std::any_of(platform.teams.begin(), platform.teams.end(),
-                                   [&](const settings::Team& one) { return one.name == team; });
+  for (const auto& [list, team] : own) {
+    const bool known =
+        std::any_of(platform.teams.begin(), platform.teams.end(),
+                    [&team = team](const settings::Team& one) { return one.name == team; });
     if (!known) refuse(path, *list, "team", "no such team: " + team);
     std::string same;
     if (!rules.teams.emplace(team, read_budget(*list, rules.budget, &same, path)).second) {
--- a/src/placement/cluster.h
+++ b/src/placement/cluster.h
@@ -110,7 +110,8 @@
   double seen_at = 0;  // when it was accepted, as well as its stamp tells
   std::vector<Need> needs;
   double freed_at = 0;  // when it was accepted, or the last job that it needs was done
-  // Until when an attempt that has ended may have run, as far as this leader knows.
+  // Until when an attempt that has ended may have run, as far as this leader knows; at first, when
+  // it took the job up.
   double still_since = 0;
   double free_by = 0;  // while it waits: when that is expected; kNever: nothing is known
   // The highest of its own and of all that need it.
@@ -308,9 +309,10 @@
   void place(Index job, std::uint32_t task, std::uint64_t attempt, Index host, double now);
   // Loads what earlier leaders recorded of a job's tasks: all its records, in whatever cuts.
   void inherit(Index job, std::vector<StoredRecord> records, double now);
-  // The attempt is proven to be over.
-  // A worker that is not answered ends its tasks with its lease.
+  // Until when tasks may run on a machine that is not heard again: a worker that is not answered
+  // ends them with its lease.
   double may_run_until(const Host& host) const;
+  // The attempt is proven to be over.
   void end_attempt(Index job, std::uint32_t task, double now);
   void mark_done(Index job, std::uint32_t task, double now);
   void cancel(Index job, CancellationTime at);
--- a/src/workers/cancelled_tasks.h
+++ b/src/workers/cancelled_tasks.h
@@ -12,7 +12,6 @@
 // attempts that have ended long ago and were only not recorded; it listens first.
 #pragma once
 
-#include <optional>
 #include <vector>
 
 #include "placement/cluster.h"
--- a/src/workers/cancelled_tasks_test.cpp
+++ b/src/workers/cancelled_tasks_test.cpp
@@ -22,13 +22,7 @@
  protected:
   CancelledTasks() : cluster_(platform_, 40, jobs::Format::compact) {
     cluster_.set_catalog({{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
-    jobs::Header header;
-    header.spec.id = "j-1";
-    header.spec.team = "red";
-    header.spec.tasks = 8;
-    header.spec.cpus = 1;
-    header.spec.image = "img";
-    job_ = cluster_.add_job(header, 7, 0);
+    job_ = cluster_.add_job(test::make_array("j-1", 8), 7, 0);
   }
 
   // A machine with a task that may run there.
--- a/src/workers/report_test.cpp
+++ b/src/workers/report_test.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "machines.h"
+
 namespace reachramp::workers {
 namespace {
 
@@ -15,12 +17,7 @@
  protected:
   Proof() : cluster_(platform_, kBaton, jobs::Format::compact) {
     cluster_.set_catalog({{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
-    jobs::Header header;
-    header.spec.id = "j-1";
-    header.spec.team = "red";
-    header.spec.tasks = 4;
-    header.spec.cpus = 1;
-    header.spec.image = "img";
+    jobs::Header header = test::make_array("j-1", 4);
     header.spec.spot = true;
     job_ = cluster_.add_job(header, 7, 0);
   }
@@ -258,11 +255,7 @@
   platform.teams = {{"red", 0, 0, 0, 0}};
   Cluster cluster(platform, kBaton, jobs::Format::compact);
   cluster.set_catalog({{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
-  jobs::Header header;
-  header.spec.id = "j-1";
-  header.spec.team = "red";
-  header.spec.tasks = 6;
-  header.spec.cpus = 1;
+  jobs::Header header = test::make_array("j-1", 6);
   header.spec.spot = true;
   const Index job = cluster.add_job(header, 7, 0);
   std::vector<Report> sent;
--- a/test/end_to_end_test.cpp
+++ b/test/end_to_end_test.cpp
@@ -300,11 +300,7 @@
 // cancelled, and the leader ends: whoever leads next has the machines returned in time, though it
 // has listened to them for a shorter time than makes them silent.
 TEST_F(EndToEnd, CancelledTasksOnMachinesThatHangAreGoneInTimeAcrossAChangeOfLeaders) {
-  forever_.insert("j-1");
-  ASSERT_TRUE(accepts(0, job("j-1", 12)));
-  ASSERT_TRUE(within(30, [&] { return cloud_->tasks_of("j-1") == 12; }));
-  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "running"; }));
-  ASSERT_GT(cloud_->hang_machines_of("j-1"), 0u);
+  ASSERT_NO_FATAL_FAILURE(run_and_hang("j-1", 12));
   const int killed = leader();
   ASSERT_GE(killed, 0);
   const int other = (killed + 1) % kNodes;
@@ -324,11 +320,7 @@
 // The same while the state service is out, so that the leader cannot renew its own lease: it rents
 // and returns nothing then, but for the sake of a cancellation.
 TEST_F(CutOff, CancelledTasksOnMachinesThatHangAreGoneInTimeInAnOutage) {
-  forever_.insert("j-1");
-  ASSERT_TRUE(accepts(0, job("j-1", 12)));
-  ASSERT_TRUE(within(30, [&] { return cloud_->tasks_of("j-1") == 12; }));
-  ASSERT_TRUE(within(30, [&] { return phase(0, "j-1") == "running"; }));
-  ASSERT_GT(cloud_->hang_machines_of("j-1"), 0u);
+  ASSERT_NO_FATAL_FAILURE(run_and_hang("j-1", 12));
   ASSERT_EQ(ask(0, "POST", "/submissions/j-1/withdraw").body.value("phase", ""), "aborted");
   const double told_at = state::steady_now();
   cut_state(true);
--- a/test/machines.h
+++ b/test/machines.h
@@ -20,6 +20,17 @@
   return index;
 }
 
+// An array of tasks of one core each, of the team "red".
+inline jobs::Header make_array(const std::string& id, std::uint32_t tasks) {
+  jobs::Header made;
+  made.spec.id = id;
+  made.spec.team = "red";
+  made.spec.tasks = tasks;
+  made.spec.cpus = 1;
+  made.spec.image = "img";
+  return made;
+}
+
 // A gang that must share a zone, named by its number among the cluster's jobs.
 inline jobs::Header make_gang(const placement::Cluster& cluster, const std::string& team,
                               std::uint32_t tasks) {
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -198,6 +198,9 @@
     return made;
   }
 
+  // A job that runs with so many tasks, on machines that then all hang.
+  void run_and_hang(const std::string& id, std::size_t tasks);
+
   // A chain, a job that needs two of it, and a chain that is cancelled at its head.
   void pipelines(const std::string& name);
 
@@ -236,6 +239,14 @@
   std::unique_ptr<lab::FleetServer> cloud_;
 };
 
+inline void EndToEnd::run_and_hang(const std::string& id, std::size_t tasks) {
+  forever_.insert(id);
+  ASSERT_TRUE(accepts(0, job(id, static_cast<int>(tasks))));
+  ASSERT_TRUE(within(30, [&] { return cloud_->tasks_of(id) == tasks; }));
+  ASSERT_TRUE(within(30, [&] { return phase(0, id) == "running"; }));
+  ASSERT_GT(cloud_->hang_machines_of(id), 0u);
+}
+
 inline void EndToEnd::pipelines(const std::string& name) {
   const auto id = [&](int i) { return "j-" + name + std::to_string(i); };
   ASSERT_TRUE(accepts(0, job(id(0), 3)));
