Process tests keep what led to a failure

Change: each start of a node logs to a file of its own (level info, or LOG_LEVEL; at most 16 MiB) under target/evidence. The machines' stand-in notes with time what each machine holds, by attempt, incarnation, fencing token and lease start, the orders it gets, returns and rentals; the state service's notes each transaction; both bounded. The files of a test that passes are deleted; else their folder is printed, and what the machines of each broken rule did from 20 s before. Nodes are started by posix_spawn: what ran between fork and exec beside the test's threads allocated (setenv).

No test or bound changes.

--- a/lab/checker/placing_rules.cpp
+++ b/lab/checker/placing_rules.cpp
@@ -7,8 +7,16 @@
 namespace reachramp::lab {
 
 void PlacingRules::note(const std::string& rule, const Field::TaskId& task, const std::string& how,
-                        double now) {
-  broken_.push_back(fmt::format("{} {}/{} {}, at {:.1f}", rule, task.job, task.task, how, now));
+                        std::set<std::string> machines, double now) {
+  const std::string text =
+      fmt::format("{} {}/{} {}, at {:.1f}", rule, task.job, task.task, how, now);
+  violations_.push_back({text, std::move(machines), now});
+}
+
+std::vector<std::string> PlacingRules::broken() const {
+  std::vector<std::string> texts;
+  for (const Violation& violation : violations_) texts.push_back(violation.text);
+  return texts;
 }
 
 void PlacingRules::see(const Place& place,
@@ -42,13 +50,14 @@
                            double now) {
   const jobs::Spec& spec = field.find(task.job)->spec;
   for (const std::string& other : machines_of_[task]) {
-    note("ran_twice", task, "on " + place.machine + ", also on " + other, now);
+    note("ran_twice", task, "on " + place.machine + ", also on " + other, {place.machine, other},
+         now);
   }
   const bool type_allowed = !spec.types || std::find(spec.types->begin(), spec.types->end(),
                                                      place.type) != spec.types->end();
   if (!type_allowed || (spec.zone && *spec.zone != place.zone) || (place.spot && !spec.spot)) {
     note("wrong_place", task, "on " + place.machine + ", a " + place.type + " in " + place.zone,
-         now);
+         {place.machine}, now);
   }
   std::uint32_t in_zone = 1;
   for (auto at = machines_of_.lower_bound({task.job, 0});
@@ -56,18 +65,20 @@
     for (const std::string& machine : at->second) {
       const std::string& zone = places_.at(machine).zone;
       if (spec.one_zone && zone != place.zone) {
-        note("wrong_place", task, "in " + place.zone + " beside tasks in " + zone, now);
+        note("wrong_place", task, "in " + place.zone + " beside tasks in " + zone,
+             {place.machine, machine}, now);
       }
       in_zone += zone == place.zone ? 1 : 0;
     }
   }
   if (spec.spread && in_zone > (spec.tasks + 1) / 2) {
-    note("wrong_place", task, "with more than half of its job in " + place.zone, now);
+    note("wrong_place", task, "with more than half of its job in " + place.zone, {place.machine},
+         now);
   }
   for (const std::string& need : spec.depends_on) {
     const Field::Job* needed = field.find(need);
     if (needed == nullptr || field.done_of(need) < needed->spec.tasks) {
-      note("too_early", task, "before " + need + " was done", now);
+      note("too_early", task, "before " + need + " was done", {place.machine}, now);
     }
   }
 }
@@ -99,7 +110,8 @@
     if ((team.cpus_max > 0 && use.cpus > team.cpus_max + 1e-6) ||
         (team.gpus_max > 0 && use.gpus > team.gpus_max + 1e-6)) {
       note("quota", last,
-           fmt::format("and others of {}: {} cpus, {} gpus", team.name, use.cpus, use.gpus), now);
+           fmt::format("and others of {}: {} cpus, {} gpus", team.name, use.cpus, use.gpus), {},
+           now);
     }
   }
 }
--- a/lab/loopback/fleet_server.cpp
+++ b/lab/loopback/fleet_server.cpp
@@ -18,6 +18,11 @@
 constexpr double kLookAtLeast_s = 1;
 constexpr double kLookAtMostEvery_s = 0.002;
 constexpr auto kThreadsStay = 2s;
+// Of the history: reports that were answered sooner, with 200 and no order, are not noted; so much
+// before a rule is broken, and after it, is told with it.
+constexpr double kNotedReport_s = 0.5;
+constexpr double kToldBefore_s = 20;
+constexpr double kToldAfter_s = 2;
 
 wire::Server::Sender anybody() {
   return [](const wire::Request&) { return wire::ClientKind::user; };
@@ -85,9 +90,43 @@
   return rules_.broken();
 }
 
+std::vector<std::string> FleetServer::history() {
+  std::lock_guard lock(mutex_);
+  return history_.lines();
+}
+
+std::vector<std::string> FleetServer::history_of_broken_rules() {
+  std::lock_guard lock(mutex_);
+  std::vector<std::string> told;
+  for (const PlacingRules::Violation& violation : rules_.violations()) {
+    told.push_back(violation.text + ":");
+    const auto lines = history_.lines_about(violation.machines, violation.at - kToldBefore_s,
+                                            violation.at + kToldAfter_s);
+    told.insert(told.end(), lines.begin(), lines.end());
+  }
+  return told;
+}
+
+void FleetServer::note_cloud_request(const wire::Request& request, const wire::Reply& reply,
+                                     double now) {
+  if (request.method != "POST" || reply.status == 400) return;
+  const wire::Json body = wire::decode_map(request.body);
+  const auto hosts = body.find("hosts");
+  if (hosts == body.end()) {
+    history_.note(now, "cloud",
+                  fmt::format("{} -> {} {}", body.dump(), reply.status, reply.body.dump()));
+    return;
+  }
+  for (const wire::Json& host : *hosts) {
+    history_.note(now, host.get<std::string>(), fmt::format("returned: {}", reply.status));
+  }
+}
+
 wire::Reply FleetServer::serve_cloud(const wire::Request& request) {
   std::lock_guard lock(mutex_);
-  wire::Reply reply = cloud_.ask(request, steady_now());
+  const double now = steady_now();
+  wire::Reply reply = cloud_.ask(request, now);
+  note_cloud_request(request, reply, now);
   changed_.notify_one();
   return reply;
 }
@@ -113,6 +152,11 @@
   if (member.gone) return {503, {{"error", "gone"}}};
   const double now = steady_now();
   wire::Reply reply = member.worker->ask(request, now);
+  if (request.method == "POST") {
+    history_.note(
+        now, member.place.machine,
+        fmt::format("told directly {} -> {}", wire::decode_map(request.body).dump(), reply.status));
+  }
   look(member, now);
   member.changed.notify_one();
   return reply;
@@ -120,7 +164,44 @@
 
 // Under the lock, after everything that may have changed what is on the machine.
 void FleetServer::look(Member& member, double now) {
-  if (!member.gone) rules_.see(member.place, member.worker->holds(), field_, now);
+  if (member.gone) return;
+  note_changes(member, now);
+  rules_.see(member.place, member.noted.holds, field_, now);
+}
+
+void FleetServer::note_changes(Member& member, double now) {
+  const Worker& worker = *member.worker;
+  const std::string& machine = member.place.machine;
+  Observed seen{worker.holds(), worker.incarnation(), worker.fencing_token()};
+  Observed& before = member.noted;
+  if (seen.incarnation != before.incarnation || seen.fencing_token != before.fencing_token) {
+    history_.note(now, machine,
+                  fmt::format("incarnation {}, fencing token {}, lease since {:.4f}",
+                              seen.incarnation, seen.fencing_token, worker.lease_since()));
+  }
+  const auto note_missing = [&](const auto& from, const auto& in, const char* what) {
+    for (const auto& held : from) {
+      if (std::find(in.begin(), in.end(), held) != in.end()) continue;
+      history_.note(now, machine,
+                    fmt::format("{} {}/{} attempt {}, incarnation {}, lease since {:.4f}", what,
+                                held.first.job, held.first.task, held.second, seen.incarnation,
+                                worker.lease_since()));
+    }
+  };
+  note_missing(before.holds, seen.holds, "ended");
+  note_missing(seen.holds, before.holds, "holds");
+  before = std::move(seen);
+}
+
+void FleetServer::note_report(const Member& member, const std::string& node, double sent_at,
+                              const wire::Answer& answer, double now) {
+  const bool ordinary = answer.answered && answer.status == 200 && now - sent_at < kNotedReport_s &&
+                        answer.body.is_object() &&
+                        answer.body.value("orders", wire::Json::array()).empty();
+  if (ordinary) return;
+  history_.note(now, member.place.machine,
+                fmt::format("report to {} sent {:.4f} -> {} {}", node, sent_at, answer.status,
+                            answer.body.dump()));
 }
 
 void FleetServer::keep_time() {
@@ -179,6 +260,7 @@
   member->gone = true;
   member->worker->end(now);
   rules_.gone(name);
+  history_.note(now, name, "gone");
   member->changed.notify_all();
   left_.push_back(member);
 }
@@ -205,6 +287,7 @@
     lock.lock();
     if (member->gone) break;
     const double heard = steady_now();
+    note_report(*member, sending->node, now, answer, heard);
     member->worker->answered(answer, heard);
     look(*member, heard);
   }
--- a/lab/loopback/fleet_server.h
+++ b/lab/loopback/fleet_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <thread>
 
+#include "checker/event_history.h"
 #include "checker/placing_rules.h"
 #include "model/cloud.h"
 #include "model/field.h"
@@ -46,17 +47,26 @@
     return use(cloud_);
   }
   std::vector<std::string> broken_rules();
+  // All that machines did and were told, and what led to each broken rule.
+  std::vector<std::string> history();
+  std::vector<std::string> history_of_broken_rules();
   std::size_t tasks_of(const std::string& job);  // on machines
   // Lets every machine hang that holds a task of the job, until it is returned; how many.
   std::size_t hang_machines_of(const std::string& job);
 
  private:
+  struct Observed {
+    std::vector<std::pair<Field::TaskId, std::uint64_t>> holds;
+    std::uint64_t incarnation = 0;
+    std::uint64_t fencing_token = 0;
+  };
   struct Member {
     std::unique_ptr<Worker> worker;
     PlacingRules::Place place;
     std::unique_ptr<wire::Server> door;
     std::condition_variable changed;
     bool gone = false;
+    Observed noted;  // as the history has it
   };
   using Shared = std::shared_ptr<Member>;
 
@@ -67,6 +77,10 @@
   void go(const std::string& machine, double now);
   void run(const Shared& member);
   void look(Member& member, double now);
+  void note_changes(Member& member, double now);
+  void note_report(const Member& member, const std::string& node, double sent_at,
+                   const wire::Answer& answer, double now);
+  void note_cloud_request(const wire::Request& request, const wire::Reply& reply, double now);
 
   FleetSpec spec_;
   std::mutex mutex_;
@@ -75,6 +89,7 @@
   Cloud cloud_;
   Field field_;
   PlacingRules rules_;
+  EventHistory history_;
   std::map<std::string, Shared> members_;
   std::vector<Shared> left_;  // whose doors are still to be closed
   bool stopping_ = false;
--- a/lab/loopback/nodes.cpp
+++ b/lab/loopback/nodes.cpp
@@ -1,15 +1,12 @@
 #include "loopback/nodes.h"
 
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <signal.h>
-#include <spawn.h>
 #include <sys/wait.h>
 
 #include <fstream>
 #include <system_error>
 
-extern char** environ;
+#include "loopback/child_process.h"
 
 namespace reachramp::lab {
 
@@ -66,31 +63,17 @@
 
 void Nodes::start(const std::string& name) {
   const std::string config = folder_ + "/" + name + ".toml";
-  const std::string log = folder_ + "/" + name + ".log";
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
   // A Ctrl-C is for the lab, which then ends its children itself.
-  posix_spawnattr_t attributes;
-  posix_spawnattr_init(&attributes);
-  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
-  const char* arguments[] = {program_.c_str(), "serve", "--config", config.c_str(), nullptr};
-  const int error = posix_spawn(&pids_.at(name), program_.c_str(), &actions, &attributes,
-                                const_cast<char**>(arguments), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  posix_spawnattr_destroy(&attributes);
-  if (error != 0) {
-    pids_.at(name) = 0;
-    throw std::system_error(error, std::generic_category(), program_);
-  }
+  pids_.at(name) = spawn({.program = program_,
+                          .arguments = {"serve", "--config", config},
+                          .log_file = folder_ + "/" + name + ".log",
+                          .own_group = true});
 }
 
 void Nodes::kill(const std::string& name) {
   pid_t& pid = pids_.at(name);
   if (pid == 0) return;
-  ::kill(pid, SIGKILL);
-  ::waitpid(pid, nullptr, 0);
+  kill_and_wait(pid);
   pid = 0;
 }
 
--- a/lab/loopback/state_server.cpp
+++ b/lab/loopback/state_server.cpp
@@ -1,5 +1,7 @@
 #include "loopback/state_server.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "kv/steady_clock.h"
@@ -45,6 +47,11 @@
     const double now = steady_now();
     auto answer = model_.ask(node, request, now);
     if (auto* reply = std::get_if<wire::Reply>(&answer)) {
+      if (request.path == "/multi") {
+        history_.note(now, node,
+                      fmt::format("{} -> {} {}", wire::decode_map(request.body).dump(),
+                                  reply->status, reply->body.dump()));
+      }
       tell(now);
       return std::move(*reply);
     }
--- a/lab/loopback/state_server.h
+++ b/lab/loopback/state_server.h
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "checker/event_history.h"
 #include "model/state_service.h"
 #include "wire/http.h"
 
@@ -41,16 +42,25 @@
     return use(model_);
   }
 
+  // All transactions, with what came of them.
+  std::vector<std::string> history() {
+    const std::lock_guard lock(mutex_);
+    return history_.lines();
+  }
+
  private:
   wire::Reply serve(const std::string& node, const wire::Request& request);
   void keep_time();
   void tell(double now);
 
   static constexpr std::size_t kMostConnections = 4000;
+  // With their values, each up to the 64 KiB of a message, usually some hundred bytes.
+  static constexpr std::size_t kMostTransactionsNoted = 10'000;
 
   std::mutex mutex_;
   std::condition_variable changed_;
   StateService model_;
+  EventHistory history_{kMostTransactionsNoted};
   std::function<bool(const wire::Request&)> refuse_if_;
   std::map<std::uint64_t, std::promise<wire::Reply>> watches_;
   bool stopping_ = false;
--- a/lab/model/worker.h
+++ b/lab/model/worker.h
@@ -57,6 +57,8 @@
   std::vector<std::pair<Field::TaskId, std::uint64_t>> holds() const;
   std::uint64_t incarnation() const { return incarnation_; }
   std::uint64_t fencing_token() const { return fencing_token_; }
+  // When the report was sent that its lease counts from.
+  double lease_since() const { return leased_at_; }
 
  private:
   enum class State { fetching, waiting, running, saving, exited };
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include <gtest/gtest.h>
-#include <signal.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <set>
@@ -15,7 +15,9 @@
 #include <thread>
 #include <vector>
 
+#include "evidence.h"
 #include "kv/steady_clock.h"
+#include "loopback/child_process.h"
 #include "loopback/fleet_server.h"
 #include "loopback/state_server.h"
 #include "ports.h"
@@ -111,6 +113,7 @@
 
   void TearDown() override {
     for (int i = 0; i < kNodes; ++i) kill_node(i);
+    if (HasFailure()) keep_evidence();
     for (int i = 0; i < kNodes; ++i) std::remove(settings(i).c_str());
   }
 
@@ -120,24 +123,27 @@
   }
 
   void start(int node) {
-    const std::string config = settings(node);
-    pids_[node] = ::fork();
-    if (pids_[node] == 0) {
-      ::setenv("LOG_LEVEL", "error", 1);
-      if (policy_.empty()) {
-        ::execl(program_, program_, "serve", "--config", config.c_str(), nullptr);
-      } else {
-        ::execl(program_, program_, "serve", "--config", config.c_str(), "--policy",
-                policy_.c_str(), nullptr);
-      }
-      ::_exit(127);
-    }
+    std::vector<std::string> arguments{"serve", "--config", settings(node)};
+    if (!policy_.empty()) arguments.insert(arguments.end(), {"--policy", policy_});
+    const std::string log = fmt::format("{}-start-{}.log", name(node), ++starts_[node]);
+    pids_[node] = lab::spawn({.program = program_,
+                              .arguments = arguments,
+                              .log_file = evidence_.file(log),
+                              .log_level = Evidence::log_level(),
+                              .most_log_bytes = Evidence::kMostLogBytes});
+  }
+
+  // What the machines and the key-value store saw, beside the nodes' logs.
+  void keep_evidence() {
+    if (!cloud_) return;
+    evidence_.write("machines.log", cloud_->history());
+    evidence_.write("transactions.log", state_->history());
+    for (const std::string& line : cloud_->history_of_broken_rules()) std::cout << line << "\n";
   }
 
   void kill_node(int node) {
     if (pids_[node] <= 0) return;
-    ::kill(pids_[node], SIGKILL);
-    ::waitpid(pids_[node], nullptr, 0);
+    lab::kill_and_wait(pids_[node]);
     pids_[node] = 0;
   }
 
@@ -204,10 +210,12 @@
   // A chain, a job that needs two of it, and a chain that is cancelled at its head.
   void pipelines(const std::string& name);
 
+  Evidence evidence_;
   const char* program_ = REACHRAMP_PROGRAM;
   PortReservations ports_;
   std::uint16_t serve_[kNodes], peer_[kNodes];
   pid_t pids_[kNodes] = {};
+  int starts_[kNodes] = {};
   std::unique_ptr<wire::Client> clients_[kNodes];
   std::size_t members() {
     return state_->with(
