Stand-in of machines: returned is gone, and a lease ends at its time

Change: what the cloud did is carried out before it answers. A lease is looked at before anybody judges what is on machines, whatever the worker's own thread waits for; an answer or a direct order that comes after its end meets the next incarnation.

Where else: the other answers that the daemon takes as proof are the machine list, which lags by the settings, and reports, which are made under the same lock as what they tell. The daemon is not changed.

--- a/lab/loopback/fleet_server.cpp
+++ b/lab/loopback/fleet_server.cpp
@@ -82,6 +82,7 @@
 
 std::size_t FleetServer::tasks_of(const std::string& job) {
   const std::lock_guard lock(mutex_);
+  expire_leases(steady_now());
   return rules_.tasks_of(job);
 }
 
@@ -127,6 +128,8 @@
   const double now = steady_now();
   wire::Reply reply = cloud_.ask(request, now);
   note_cloud_request(request, reply, now);
+  // Before the answer: by then what was returned is gone.
+  handle_cloud_events(now);
   changed_.notify_one();
   return reply;
 }
@@ -164,6 +167,26 @@
 
 // Under the lock, after everything that may have changed what is on the machine.
 void FleetServer::look(Member& member, double now) {
+  expire_leases(now);
+  observe(member, now);
+}
+
+// Whatever a worker's own thread waits for, its lease ends at its time: before anybody else can be
+// found to hold one of its tasks.
+void FleetServer::expire_leases(double now) {
+  if (now <= next_lease_end_) return;
+  next_lease_end_ = kForever;
+  for (const auto& [name, member] : members_) {
+    Worker& worker = *member->worker;
+    if (worker.lease_ends_at() < now) {
+      worker.expire_lease(now);
+      observe(*member, now);
+    }
+    next_lease_end_ = std::min(next_lease_end_, worker.lease_ends_at());
+  }
+}
+
+void FleetServer::observe(Member& member, double now) {
   if (member.gone) return;
   note_changes(member, now);
   rules_.see(member.place, member.noted.holds, field_, now);
@@ -204,21 +227,24 @@
                             answer.body.dump()));
 }
 
+void FleetServer::handle_cloud_events(double now) {
+  for (const Cloud::Event& event : cloud_.pass(now)) {
+    const auto at = members_.find(event.machine);
+    if (event.what == Cloud::What::up) {
+      come_up(event.machine, now);
+    } else if (event.what == Cloud::What::gone) {
+      go(event.machine, now);
+    } else if (at != members_.end()) {
+      at->second->worker->notice(event.notice_s, now);
+      at->second->changed.notify_one();
+    }
+  }
+}
+
 void FleetServer::keep_time() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const double now = steady_now();
-    for (const Cloud::Event& event : cloud_.pass(now)) {
-      const auto at = members_.find(event.machine);
-      if (event.what == Cloud::What::up) {
-        come_up(event.machine, now);
-      } else if (event.what == Cloud::What::gone) {
-        go(event.machine, now);
-      } else if (at != members_.end()) {
-        at->second->worker->notice(event.notice_s, now);
-        at->second->changed.notify_one();
-      }
-    }
+    handle_cloud_events(steady_now());
     if (!left_.empty()) {
       // A door closes once its threads are done, which may wait for the lock.
       const std::vector<Shared> left = std::exchange(left_, {});
@@ -249,6 +275,7 @@
       Worker::Machine{name, rented.address, *type, rented.zone, rented.spot, 1, false},
       spec_.workers, std::move(nodes), field_, random_(), now);
   members_[name] = member;
+  next_lease_end_ = std::min(next_lease_end_, member->worker->lease_ends_at());
   crew_.run([this, member] { run(member); });
 }
 
--- a/lab/loopback/fleet_server.h
+++ b/lab/loopback/fleet_server.h
@@ -76,7 +76,10 @@
   void come_up(const std::string& machine, double now);
   void go(const std::string& machine, double now);
   void run(const Shared& member);
+  void handle_cloud_events(double now);
+  void expire_leases(double now);
   void look(Member& member, double now);
+  void observe(Member& member, double now);
   void note_changes(Member& member, double now);
   void note_report(const Member& member, const std::string& node, double sent_at,
                    const wire::Answer& answer, double now);
@@ -91,7 +94,8 @@
   PlacingRules rules_;
   EventHistory history_;
   std::map<std::string, Shared> members_;
-  std::vector<Shared> left_;  // whose doors are still to be closed
+  double next_lease_end_ = kForever;  // no lease of a member ends before
+  std::vector<Shared> left_;          // whose doors are still to be closed
   bool stopping_ = false;
   wire::ConnectionLimiter budget_;
   std::unique_ptr<wire::Server> door_;
--- a/lab/model/worker.cpp
+++ b/lab/model/worker.cpp
@@ -267,10 +267,24 @@
   changed_ = true;
 }
 
+double Worker::lease_ends_at() const {
+  return over_ || hangs_ ? kForever : leased_at_ + rules_.lease_s;
+}
+
+bool Worker::lease_has_ended(double now) const {
+  return !over_ && !hangs_ && now - leased_at_ > rules_.lease_s;
+}
+
+void Worker::expire_lease(double now) {
+  if (!lease_has_ended(now)) return;
+  work(std::max(moved_at_, lease_ends_at()));
+  lose_lease(now);
+}
+
 std::optional<Worker::Sending> Worker::pass(double now) {
   if (over_ || hangs_) return std::nullopt;
+  expire_lease(now);
   work(now);
-  if (now - leased_at_ > rules_.lease_s) lose_lease(now);
   if (changed_) {
     report_at_ = std::min(report_at_, std::max(now, last_report_at_ + kReportAtMostEvery_s));
   }
@@ -319,6 +333,7 @@
 }
 
 void Worker::answered(const wire::Answer& answer, double now) {
+  expire_lease(now);
   if (over_ || hangs_ || !in_flight_ || sent_incarnation_ != incarnation_) return;
   in_flight_ = false;
   if (answer.answered && answer.status == 421) {
@@ -349,6 +364,7 @@
 }
 
 Reply Worker::ask(const wire::Request& request, double now) {
+  expire_lease(now);
   if (request.method == "GET" && request.path == "/status") return {200, report(now)};
   if (request.method != "POST" || request.path != "/orders") return {404, Json::object()};
   const Json body = wire::decode_map(request.body);
--- a/lab/model/worker.h
+++ b/lab/model/worker.h
@@ -37,6 +37,9 @@
   Worker(Machine machine, const settings::Workers& rules, std::vector<std::string> nodes,
          Field& field, std::uint64_t seed, double now);
 
+  // Kills and forgets all tasks if the lease has ended by now. pass(), answered() and ask() do so
+  // first; whoever judges what is on a machine between them has to.
+  void expire_lease(double now);
   std::optional<Sending> pass(double now);
   // The answer to the report in flight; not answered: none within 4 s, or no connection.
   void answered(const wire::Answer& answer, double now);
@@ -59,6 +62,8 @@
   std::uint64_t fencing_token() const { return fencing_token_; }
   // When the report was sent that its lease counts from.
   double lease_since() const { return leased_at_; }
+  // By then tasks are lost, if no answer comes; the infinite future while it hangs or is gone.
+  double lease_ends_at() const;
 
  private:
   enum class State { fetching, waiting, running, saving, exited };
@@ -85,6 +90,7 @@
   void work(double now);
   void lose_lease(double now);
   double progress(const Key& key, const Piece& piece, double now) const;
+  bool lease_has_ended(double now) const;
   wire::Json report(double now);
   void next_node(double now);
   bool is_gang(const Key& key) const;
--- a/lab/model/worker_test.cpp
+++ b/lab/model/worker_test.cpp
@@ -165,6 +165,25 @@
   EXPECT_TRUE(workers::decode_heartbeat(fresh->report).tasks.empty());
 }
 
+// The lease ends at its time whoever comes first afterwards: a late answer, a direct order.
+TEST_F(WorkerModel, WhatComesAfterTheLeaseMeetsTheNextIncarnation) {
+  upload("j-1", jobs::Shape::array, 1, 100);
+  const Json start{{"baton", 4}, {"tenure", 1}, {"orders", {order("start", "j-1/0", 1)}}};
+  for (const bool answer : {true, false}) {
+    Worker one = worker();
+    ASSERT_EQ(one.ask({"POST", "/orders", "", wire::encode(start)}, 0).status, 200);
+    ASSERT_TRUE(one.pass(8));
+    EXPECT_EQ(one.holds().size(), 1u);
+    if (answer) {
+      one.answered({true, true, 200, {{"baton", 4}, {"orders", Json::array()}}, 0}, 10.1);
+    } else {
+      EXPECT_EQ(one.ask({"POST", "/orders", "", wire::encode(start)}, 10.1).status, 409);
+    }
+    EXPECT_EQ(one.incarnation(), 2u);
+    EXPECT_TRUE(one.holds().empty());
+  }
+}
+
 TEST_F(WorkerModel, FollowsTheNodeItIsSentTo) {
   Worker one = worker();
   const std::string was = one.pass(0)->node;
