Questions: the job without an answer for longest first, no header twice

Cause, from the log line "questions:": a batch of questions was compared, then the changed ones had 0.6 s for a read each, so that most of them found no token; they were answered "cannot tell now", asked again five seconds later at the back of the line, and were compared, found changed and dropped again.

Change: the line is in the order of how long a job has been asked about without an answer, on this node. Each token goes to the first in line: if its header is known, one comparison serves all others that are; if it is not known, or a comparison has told that it differs, it is read and not compared again. What a request leaves open waits on at its place, while somebody waits for it. As before, a question is answered only by a request that was sent after it came, and questions have the same rate.

--- a/src/jobs/job_reader.cpp
+++ b/src/jobs/job_reader.cpp
@@ -3,7 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <thread>
+#include <chrono>
 
 #include "kv/steady_clock.h"
 
@@ -15,12 +15,8 @@
 using kv::steady_now;
 
 constexpr double kPatience_s = 1.2;  // users wait 2 s
-constexpr double kResolveWithin_s = 0.6;
-constexpr int kMostReading = 3;  // batches at once
-constexpr int kMostRounds = 3;   // of comparing what has not changed
+constexpr int kMostWorking = 3;      // requests at once
 constexpr std::size_t kMostKnown = 2000;
-// Read one after another: a slow service must not hold up all that were taken with them.
-constexpr std::size_t kMostUnknown = 6;
 constexpr double kLeastRate = 4;
 
 }  // namespace
@@ -74,12 +70,13 @@
 void JobReader::keep(const std::string& id, const Lookup& lookup) {
   if (lookup.presence != JobState::live && lookup.presence != JobState::ended) return;
   std::lock_guard lock(mutex_);
-  const auto [at, fresh] = known_.try_emplace(id, lookup);
+  const auto [at, fresh] = known_.try_emplace(id, Known{lookup});
   if (!fresh) {
+    Known& known = at->second;
     // Reads overtake each other; what is final stays.
-    if (!is_final(at->second) &&
-        (lookup.presence == JobState::ended || lookup.revision > at->second.revision)) {
-      at->second = lookup;
+    if (is_final(known.lookup)) return;
+    if (lookup.presence == JobState::ended || lookup.revision >= known.lookup.revision) {
+      known = {lookup};
     }
     return;
   }
@@ -89,115 +86,128 @@
   known_order_.pop_front();
 }
 
-std::optional<Lookup> JobReader::known(const std::string& id) {
-  std::lock_guard lock(mutex_);
-  const auto at = known_.find(id);
-  return at == known_.end() ? std::nullopt : std::optional(at->second);
-}
-
 Lookup JobReader::ask(const std::string& id) {
-  const double until = steady_now() + kPatience_s;
+  const double asked_at = steady_now();
+  const double until = asked_at + kPatience_s;
   std::unique_lock lock(mutex_);
-  log_.advance(steady_now());
+  log_.advance(asked_at);
   const auto final_answer = known_.find(id);
-  if (final_answer != known_.end() && is_final(final_answer->second)) {
+  if (final_answer != known_.end() && is_final(final_answer->second.lookup)) {
+    log_.note_answered(id);
     ++log_.counts.asked;
     ++log_.counts.final_known;
-    log_.note_answered(id);
-    return final_answer->second;
+    return final_answer->second.lookup;
   }
-  log_.note_asked(id, steady_now());
-  Asked& slot = waiting_by_id_[id];
-  if (!slot) {
-    slot = std::make_shared<Question>();
-    slot->id = id;
-    waiting_.push_back(slot);
-  }
-  const Asked question = slot;
-  ++question->waiters;
+  log_.note_asked(id, asked_at);
+  const Asked question = queue_.join(id, log_.unanswered_since(id, asked_at));
   while (!question->answered) {
     const double now = steady_now();
     if (now >= until) {
-      if (--question->waiters == 0 && !question->taken) {
-        waiting_by_id_.erase(id);
-        std::erase(waiting_, question);
-        if (!waiting_.empty()) waiting_.front()->changed.notify_all();
-        log_.note_no_answer(NoAnswer::not_taken);
-      }
+      queue_.leave(question);
+      log_.note_no_answer(NoAnswer::not_in_time);
+      wake_first();
       return {};
     }
     double wait = until - now;
-    if (!question->taken && reading_ < kMostReading) {
+    if (!queue_.empty() && working_ < kMostWorking) {
       const double token = bucket_.take(1, now);
       if (token <= 0) {
-        ++reading_;
+        ++working_;
         const std::vector<Asked> batch = take();
         lock.unlock();
-        resolve(batch);
+        work_on(batch);
         lock.lock();
-        --reading_;
-        if (!waiting_.empty()) waiting_.front()->changed.notify_all();
+        --working_;
+        wake_first();
         continue;
       }
       // Whoever is first in line takes the others along.
-      if (question == waiting_.front()) wait = std::min(wait, token);
+      if (question == queue_.front()) wait = std::min(wait, token);
     }
     question->changed.wait_for(lock, std::chrono::duration<double>(wait));
   }
   return question->answer;
 }
 
-// Whoever asks from now on is not among them: the reads may be under way.
+void JobReader::wake_first() {
+  if (!queue_.empty()) queue_.front()->changed.notify_all();
+}
+
+bool JobReader::can_be_compared(const Question& question) const {
+  const auto at = known_.find(question.id);
+  return at != known_.end() && at->second.lookup.presence == JobState::live && !at->second.differs;
+}
+
 std::vector<JobReader::Asked> JobReader::take() {
-  std::vector<Asked> batch;
-  std::size_t unknown = 0;
-  while (!waiting_.empty() && batch.size() < most_ && unknown < kMostUnknown) {
-    unknown += known_.contains(waiting_.front()->id) ? 0 : 1;
-    waiting_.front()->taken = true;
-    waiting_by_id_.erase(waiting_.front()->id);
-    batch.push_back(std::move(waiting_.front()));
-    waiting_.pop_front();
-  }
-  return batch;
+  if (!can_be_compared(*queue_.front())) return {queue_.take_front()};
+  return queue_.take(most_, [this](const Question& question) { return can_be_compared(question); });
 }
 
-bool JobReader::may_read(double until) {
-  for (;;) {
-    const double now = steady_now();
-    double wait = 0;
-    {
-      std::lock_guard lock(mutex_);
-      wait = bucket_.take(1, now);
-    }
-    if (wait <= 0) return now < until;
-    if (now + wait > until) return false;
-    std::this_thread::sleep_for(std::chrono::duration<double>(wait));
+void JobReader::work_on(const std::vector<Asked>& batch) {
+  if (batch.size() == 1) {
+    read_for(batch.front());
+  } else {
+    compare(batch);
   }
 }
 
-// What cannot be read soon is not held back: users had no answer in their two seconds where six
-// reads waited for their turn.
-void JobReader::resolve(const std::vector<Asked>& batch) {
-  const double until = steady_now() + kResolveWithin_s;
-  std::vector<Asked> known_ones, to_read;
-  for (const Asked& question : batch) {
-    (batch.size() > 1 && known(question->id) ? known_ones : to_read).push_back(question);
+void JobReader::read_for(const Asked& question) {
+  Lookup found = read(question->id);
+  std::lock_guard lock(mutex_);
+  ++log_.counts.reads;
+  if (found.presence == JobState::unsure) {
+    leave_unanswered(*question);
+  } else {
+    answer(*question, std::move(found), &QuestionCounts::read);
   }
-  for (Asked& question : confirm(std::move(known_ones), until))
-    to_read.push_back(std::move(question));
-  // The token that the batch was taken for serves its first request.
-  bool paid = to_read.size() == batch.size();
-  for (const Asked& question : to_read) {
-    const bool may = std::exchange(paid, false) || may_read(until);
-    Lookup found;
-    if (may) found = read(question->id);
+}
+
+void JobReader::compare(const std::vector<Asked>& batch) {
+  kv::Transaction transaction;
+  std::vector<Comparison> comparisons;
+  {
     std::lock_guard lock(mutex_);
-    log_.counts.reads += may ? 1 : 0;
-    if (found.presence != JobState::unsure) {
-      answer(*question, std::move(found), &QuestionCounts::read);
+    for (const Asked& question : batch) {
+      const auto at = known_.find(question->id);
+      if (at == known_.end()) {
+        queue_.put_back(question);  // forgotten since it was taken
+        continue;
+      }
+      comparisons.push_back({question, at->second.lookup});
+      transaction.preconditions.emplace_back(job_key(question->id), at->second.lookup.revision);
+    }
+  }
+  if (comparisons.empty()) return;
+  const kv::CommitResult compared = state_.commit(transaction);
+  std::lock_guard lock(mutex_);
+  ++log_.counts.comparisons;
+  if (compared.outcome == Outcome::conflict && !compared.failed_keys.empty()) {
+    note_differing(comparisons, compared.failed_keys);
+    return;
+  }
+  for (const Comparison& one : comparisons) {
+    if (compared.outcome == Outcome::ok) {
+      answer(*one.question, one.held, &QuestionCounts::compared);
     } else {
-      leave_unanswered(*question, may ? NoAnswer::refused : NoAnswer::no_token);
+      leave_unanswered(*one.question);
+    }
+  }
+}
+
+// Those that differ are read next. The store need not name all of them, so the others are compared
+// again. All keep their places in the line.
+void JobReader::note_differing(const std::vector<Comparison>& comparisons,
+                               const std::vector<std::string>& differing_keys) {
+  ++log_.counts.conflicts;
+  log_.counts.differing_named += differing_keys.size();
+  for (const auto& [question, held] : comparisons) {
+    const bool named = std::find(differing_keys.begin(), differing_keys.end(),
+                                 job_key(question->id)) != differing_keys.end();
+    const auto known = known_.find(question->id);
+    if (named && known != known_.end() && known->second.lookup.revision == held.revision) {
+      known->second.differs = true;
     }
+    queue_.put_back(question);
   }
 }
 
@@ -205,56 +215,15 @@
   question.answer = std::move(lookup);
   question.answered = true;
   question.changed.notify_all();
-  ++(log_.counts.*how);
+  if (question.waiters == 0) return;  // it came too late
+  log_.counts.*how += static_cast<std::uint64_t>(question.waiters);
   log_.note_answered(question.id);
 }
 
-void JobReader::leave_unanswered(Question& question, NoAnswer why) {
+void JobReader::leave_unanswered(Question& question) {
   question.answered = true;
   question.changed.notify_all();
-  log_.note_no_answer(why);
-}
-
-// One comparison for all of them. The service need not name all that differ, so the rest is
-// compared again.
-std::vector<JobReader::Asked> JobReader::confirm(std::vector<Asked> same, double until) {
-  std::vector<Asked> changed;
-  for (int round = 0; round < kMostRounds && !same.empty(); ++round) {
-    kv::Transaction compare;
-    std::vector<Lookup> held;
-    for (const Asked& question : same) {
-      held.push_back(known(question->id).value_or(Lookup{}));
-      compare.preconditions.emplace_back(job_key(question->id), held.back().revision);
-    }
-    if (round > 0 && !may_read(until)) break;
-    const kv::CommitResult compared = state_.commit(compare);
-    {
-      std::lock_guard lock(mutex_);
-      ++log_.counts.comparisons;
-      log_.counts.conflicts += compared.outcome == Outcome::conflict ? 1 : 0;
-      log_.counts.differing_named += compared.failed_keys.size();
-    }
-    if (compared.outcome == Outcome::conflict && !compared.failed_keys.empty()) {
-      const auto differs = std::stable_partition(same.begin(), same.end(), [&](const Asked& one) {
-        return std::find(compared.failed_keys.begin(), compared.failed_keys.end(),
-                         job_key(one->id)) == compared.failed_keys.end();
-      });
-      changed.insert(changed.end(), differs, same.end());
-      same.erase(differs, same.end());
-      continue;
-    }
-    std::lock_guard lock(mutex_);
-    for (std::size_t i = 0; i < same.size(); ++i) {
-      if (compared.outcome == Outcome::ok) {
-        answer(*same[i], held[i], &QuestionCounts::compared);
-      } else {
-        leave_unanswered(*same[i], NoAnswer::refused);
-      }
-    }
-    same.clear();
-  }
-  changed.insert(changed.end(), same.begin(), same.end());
-  return changed;
+  for (int i = 0; i < question.waiters; ++i) log_.note_no_answer(NoAnswer::refused);
 }
 
 }  // namespace reachramp::jobs
--- a/src/jobs/job_reader.h
+++ b/src/jobs/job_reader.h
@@ -1,31 +1,24 @@
 // What the key-value store holds of a job, by strong reads that users who ask at the same time
 // share. Each question is answered by a read that was sent after it came, so no answer is older
 // than any that a node has given. Ended and cancelled jobs stay so: known once, they need no read.
+//
+// Each request goes to the job that has had no answer for longest. If its header is known, one
+// comparison serves all others that are; if it is known to differ, or not known, it is read.
 #pragma once
 
-#include <condition_variable>
 #include <deque>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/lookup.h"
 #include "jobs/question_log.h"
-#include "jobs/spec.h"
+#include "jobs/question_queue.h"
 #include "kv/client.h"
 
 namespace reachramp::jobs {
 
-enum class JobState { live, ended, absent, unsure };
-
-struct Lookup {
-  JobState presence = JobState::unsure;
-  Header header;               // live
-  std::uint64_t revision = 0;  // of the header
-  FinalState ending;           // ended
-};
-
 class JobReader {
  public:
   // Questions may take so many requests a second, and a request so many conditions.
@@ -41,38 +34,44 @@
   void remember(const std::string& id, const Header& header, std::uint64_t revision);
 
  private:
-  struct Question {
-    std::string id;
-    int waiters = 0;
-    bool taken = false;
-    bool answered = false;
-    Lookup answer;
-    std::condition_variable changed;  // its own: waking all for each answer cost the node its share
+  using Asked = QuestionQueue::Shared;
+  struct Known {
+    Lookup lookup;
+    // A comparison has told that the header is another by now: only a read helps.
+    bool differs = false;
   };
-  using Asked = std::shared_ptr<Question>;
+  struct Comparison {
+    Asked question;
+    Lookup held;
+  };
+
+  // Without a lock: one request, or two, for questions taken from the queue.
+  void work_on(const std::vector<Asked>& batch);
+  void read_for(const Asked& question);
+  // Answers all if their headers still stand as they are known.
+  void compare(const std::vector<Asked>& batch);
 
+  // Under the lock.
   std::vector<Asked> take();
-  void resolve(const std::vector<Asked>& batch);
-  // Answers those whose headers still stand as they are known; returns the others.
-  std::vector<Asked> confirm(std::vector<Asked> known, double until);
-  std::optional<Lookup> known(const std::string& id);
+  bool can_be_compared(const Question& question) const;
+  void note_differing(const std::vector<Comparison>& comparisons,
+                      const std::vector<std::string>& differing_keys);
+  void answer(Question& question, Lookup lookup, std::uint64_t QuestionCounts::*how);
+  void leave_unanswered(Question& question);
+  void wake_first();
+
   void keep(const std::string& id, const Lookup& lookup);
-  bool may_read(double until);
   bool is_final(const Lookup& lookup) const;
-  // Under the lock.
-  void answer(Question& question, Lookup lookup, std::uint64_t QuestionCounts::*how);
-  void leave_unanswered(Question& question, NoAnswer why);
 
   kv::Client& state_;
   const std::size_t most_;
   const bool cancelled_is_final_;
-  std::mutex mutex_;
+  std::mutex mutex_;  // guards all below
   kv::TokenBucket bucket_;
   QuestionLog log_;
-  int reading_ = 0;
-  std::deque<Asked> waiting_;
-  std::unordered_map<std::string, Asked> waiting_by_id_;
-  std::unordered_map<std::string, Lookup> known_;
+  QuestionQueue queue_;
+  int working_ = 0;  // threads
+  std::unordered_map<std::string, Known> known_;
   std::deque<std::string> known_order_;  // the oldest first
 };
 
--- a/src/jobs/question_log.cpp
+++ b/src/jobs/question_log.cpp
@@ -29,11 +29,8 @@
 
 void QuestionLog::note_no_answer(NoAnswer why) {
   switch (why) {
-    case NoAnswer::not_taken:
-      ++counts.not_taken;
-      break;
-    case NoAnswer::no_token:
-      ++counts.no_token;
+    case NoAnswer::not_in_time:
+      ++counts.not_in_time;
       break;
     case NoAnswer::refused:
       ++counts.refused;
@@ -63,19 +60,19 @@
   if (now - logged_at_ < kLogEvery_s) return;
   forget_those_not_asked(now);
   const QuestionCounts& before = logged_;
-  const std::uint64_t unsure = counts.not_taken + counts.no_token + counts.refused -
-                               before.not_taken - before.no_token - before.refused;
+  const std::uint64_t unsure =
+      counts.not_in_time + counts.refused - before.not_in_time - before.refused;
   if (unsure > 0) {
     spdlog::info(
         "questions: {} asked; answered: {} from memory, {} by comparison, {} by read; without an "
-        "answer: {} not taken, {} no token, {} refused; {} comparisons, {} conflicts that named "
+        "answer: {} not in time, {} refused; {} comparisons, {} conflicts that named "
         "{}, {} reads; {} jobs wait, the longest for {:.1f} s",
         counts.asked - before.asked, counts.final_known - before.final_known,
         counts.compared - before.compared, counts.read - before.read,
-        counts.not_taken - before.not_taken, counts.no_token - before.no_token,
-        counts.refused - before.refused, counts.comparisons - before.comparisons,
-        counts.conflicts - before.conflicts, counts.differing_named - before.differing_named,
-        counts.reads - before.reads, unanswered_.size(), longest_wait_s(now));
+        counts.not_in_time - before.not_in_time, counts.refused - before.refused,
+        counts.comparisons - before.comparisons, counts.conflicts - before.conflicts,
+        counts.differing_named - before.differing_named, counts.reads - before.reads,
+        unanswered_.size(), longest_wait_s(now));
   }
   logged_ = counts;
   logged_at_ = now;
--- a/src/jobs/question_log.h
+++ b/src/jobs/question_log.h
@@ -10,9 +10,8 @@
 
 // Why a question got no answer.
 enum class NoAnswer {
-  not_taken,  // its time was over before a request could be spent on it
-  no_token,   // taken, but its read was not sent in time
-  refused,    // the store did not answer, or not for certain
+  not_in_time,  // no request could be spent on it, or its response came too late
+  refused,      // the store did not answer, or not for certain
 };
 
 struct QuestionCounts {
@@ -20,8 +19,7 @@
   std::uint64_t final_known = 0;  // answered from memory: the job has ended
   std::uint64_t compared = 0;     // answered by a comparison
   std::uint64_t read = 0;         // answered by a read of its own
-  std::uint64_t not_taken = 0;
-  std::uint64_t no_token = 0;
+  std::uint64_t not_in_time = 0;
   std::uint64_t refused = 0;
   std::uint64_t comparisons = 0;      // requests
   std::uint64_t conflicts = 0;        // of these: something differed
