--- a/src/jobs/question_queue.cpp
+++ b/src/jobs/question_queue.cpp
@@ -27,7 +27,7 @@
 }
 
 QuestionQueue::Shared QuestionQueue::take_front() {
-  const Shared first = front();
+  Shared first = front();
   remove(first);
   return first;
 }
