--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -8,9 +8,9 @@
 
 constexpr int kPipelines = 12;
 constexpr const char* kStages[] = {"ingest", "clean", "match", "issue"};
-constexpr double kPollInterval_s = 5;        // PROTOCOL: users poll about every 5 s
-constexpr double kOutagePastCancel_s = 4;    // the outage lasts this much longer than cancel_s
-constexpr double kObservation_s = 25;        // after the outage
+constexpr double kPollInterval_s = 5;      // PROTOCOL: users poll about every 5 s
+constexpr double kOutagePastCancel_s = 4;  // the outage lasts this much longer than cancel_s
+constexpr double kObservation_s = 25;      // after the outage
 
 std::string id(int pipeline, int stage) { return fmt::format("j-{:03}{}", pipeline + 1, stage); }
 
@@ -49,14 +49,18 @@
   if (leader < 0) throw CannotRun("no leader");
   const double trouble_at = steady_now();
   if (trouble) {
-    site.store().with_model([&](lab::StateService& m) { m.set_refused(Site::name(leader), true); return 0; });
+    site.store().with_model([&](lab::StateService& m) {
+      m.set_refused(Site::name(leader), true);
+      return 0;
+    });
     record.line(fmt::format("the state service refuses the leader, {}, alone", Site::name(leader)));
   }
   // Users cancel the first job of each pipeline, at the other nodes.
   std::map<int, double> told_at;
   for (int p = 0; p < kPipelines; ++p) {
     const int node = (leader + 1 + p % 2) % 3;
-    const Answer answer = site.call(node, "POST", "/submissions/" + id(p, 0) + "/withdraw", nullptr, 5);
+    const Answer answer =
+        site.call(node, "POST", "/submissions/" + id(p, 0) + "/withdraw", nullptr, 5);
     if (answer.status == 200 && answer.phase == "aborted") told_at[p] = answer.answered_at;
   }
   if (told_at.size() != kPipelines) throw CannotRun("a cancellation was not confirmed at once");
@@ -90,11 +94,14 @@
           const std::lock_guard lock(mutex);
           last_phase[id(p, stage)] = answer.phase;
           const double since_told = answer.sent_at - told_at.at(p);
-          if (since_told > s.timings.cancel_s && (answer.phase == "pending" || answer.phase == "running")) {
-            broken.push_back(fmt::format(
-                "orphaned: {} is called {} by {} at a question that was sent {:.2f} s after its user was told "
-                "that {} is cancelled (cancel_s {})",
-                id(p, stage), answer.phase, Site::name(node % 3), since_told, id(p, 0), s.timings.cancel_s));
+          if (since_told > s.timings.cancel_s &&
+              (answer.phase == "pending" || answer.phase == "running")) {
+            broken.push_back(
+                fmt::format("orphaned: {} is called {} by {} at a question that was sent {:.2f} s "
+                            "after its user was told "
+                            "that {} is cancelled (cancel_s {})",
+                            id(p, stage), answer.phase, Site::name(node % 3), since_told, id(p, 0),
+                            s.timings.cancel_s));
           }
         }
       });
@@ -102,7 +109,10 @@
   }
   if (trouble) {
     sleep_s(outage_ends_at - steady_now());
-    site.store().with_model([&](lab::StateService& m) { m.end_outage(steady_now()); return 0; });
+    site.store().with_model([&](lab::StateService& m) {
+      m.end_outage(steady_now());
+      return 0;
+    });
     record.line("the state service answers again");
   }
   for (std::thread& user : users) user.join();
--- a/review/stand/site.h
+++ b/review/stand/site.h
@@ -171,12 +171,14 @@
 
   // The command of the deploy file.
   void start(int node) {
-    pids_[index(node)] = lab::spawn({.program = program_,
-                                     .arguments = {"serve", "--config", folder_ + "/" + name(node) + ".toml"},
-                                     .log_file = folder_ + "/" + name(node) + ".log",
-                                     .log_level = "info",
-                                     .own_process_group = true});
-    std::ofstream(folder_ + "/pids", std::ios::app) << pids_[index(node)] << " " << name(node) << "\n";
+    pids_[index(node)] =
+        lab::spawn({.program = program_,
+                    .arguments = {"serve", "--config", folder_ + "/" + name(node) + ".toml"},
+                    .log_file = folder_ + "/" + name(node) + ".log",
+                    .log_level = "info",
+                    .own_process_group = true});
+    std::ofstream(folder_ + "/pids", std::ios::app)
+        << pids_[index(node)] << " " << name(node) << "\n";
     record_.line(fmt::format("{} started, process {}", name(node), pids_[index(node)]));
   }
   void start_all() {
@@ -281,13 +283,26 @@
 
 // A submission as in PROTOCOL, an array with one core a task; `change` overwrites fields.
 inline Json job(const std::string& id, const std::string& team, int pieces, const Json& change) {
-  Json body{{"ref", id},           {"jobclass", "batch"},  {"owner", team},
-            {"shape", "array"},    {"urgency", "normal"},  {"pieces", pieces},
-            {"vcpus", 1.0},        {"accelerators", 0.0},  {"ram_gb", 1.0},
-            {"bundle", "img-01"},  {"pull_gb", 0.1},       {"rigs", nullptr},
-            {"hall", nullptr},     {"together", false},    {"scatter", false},
-            {"loaner", false},     {"expected_s", 30.0},   {"snapshot_every_s", 0.0},
-            {"snapshot_cost_s", 0.0}, {"due_s", nullptr}};
+  Json body{{"ref", id},
+            {"jobclass", "batch"},
+            {"owner", team},
+            {"shape", "array"},
+            {"urgency", "normal"},
+            {"pieces", pieces},
+            {"vcpus", 1.0},
+            {"accelerators", 0.0},
+            {"ram_gb", 1.0},
+            {"bundle", "img-01"},
+            {"pull_gb", 0.1},
+            {"rigs", nullptr},
+            {"hall", nullptr},
+            {"together", false},
+            {"scatter", false},
+            {"loaner", false},
+            {"expected_s", 30.0},
+            {"snapshot_every_s", 0.0},
+            {"snapshot_cost_s", 0.0},
+            {"due_s", nullptr}};
   body.update(change);
   return body;
 }
@@ -313,8 +328,9 @@
     std::cout << "could not run: " << error.what() << "\n";
     return kCannotRun;
   }
-  const char* verdict = result == kHeld ? "the rule held"
-                        : result == kBroken ? "the rule was broken" : "the case could not run";
+  const char* verdict = result == kHeld     ? "the rule held"
+                        : result == kBroken ? "the rule was broken"
+                                            : "the case could not run";
   record.line(verdict);
   std::cout << verdict << "\n" << std::flush;
   return result;
