--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -16,6 +16,7 @@
 
 SiteSpec spec() {
   SiteSpec s;
+  s.gates = true;
   s.timings = {2, 12, 35, 4, 32};  // norrsken-uppsala
   s.store = {70, 25, 4, 8};
   s.cloud = {3, 2};
@@ -49,10 +50,7 @@
   if (leader < 0) throw CannotRun("no leader");
   const double trouble_at = steady_now();
   if (trouble) {
-    site.store().with_model([&](lab::StateService& m) {
-      m.set_refused(Site::name(leader), true);
-      return 0;
-    });
+    site.gate(leader).set_refused(true);
     record.line(fmt::format("the state service refuses the leader, {}, alone", Site::name(leader)));
   }
   // Users cancel the first job of each pipeline, at the other nodes.
@@ -68,10 +66,10 @@
   const double outage_s = s.timings.cancel_s + kOutagePastCancel_s;
   if (trouble) {
     site.store().with_model([&](lab::StateService& m) {
-      m.set_refused(Site::name(leader), false);
       m.begin_outage(steady_now());
       return 0;
     });
+    site.gate(leader).set_refused(false);  // from now on it is refused like the others
     record.line(fmt::format("the state service is out for {} s", outage_s));
   }
   const double outage_ends_at = steady_now() + outage_s;
--- a/review/stand/site.h
+++ b/review/stand/site.h
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -105,8 +106,42 @@
   double sent_at = 0, answered_at = 0;
 };
 
+// Stands between one node and the state service, so that the service can refuse this node alone as
+// PROTOCOL says: new requests get 503, and watches that are open wait as in an outage. (The
+// emulator's own refusal goes on answering open watches.)
+class Gate {
+ public:
+  Gate(std::uint16_t port, const wire::Address& service)
+      : client_(service, 64, 8 * 1024 * 1024),
+        limiter_(200),
+        server_(
+            {"127.0.0.1", port}, limiter_, wire::ClientKind::user,
+            [](const wire::Request&) { return wire::ClientKind::user; },
+            [this](const wire::Request& request) { return serve(request); }) {}
+  void set_refused(bool refused) { refused_ = refused; }
+
+ private:
+  wire::Response serve(const wire::Request& request) {
+    if (refused_) return {503, {{"error", "trouble"}}};
+    std::optional<Json> body;
+    if (!request.body.empty()) body = wire::decode_map(request.body);
+    const std::string target = request.path + (request.query.empty() ? "" : "?" + request.query);
+    const wire::CallResult answer = client_.call(request.method.c_str(), target,
+                                                 body ? &*body : nullptr, std::chrono::seconds(70));
+    while (refused_ && request.path == "/follow") sleep_s(0.01);
+    if (!answer.received_response) return {503, {{"error", "trouble"}}};
+    return {answer.status, answer.body, answer.retry_after_s};
+  }
+
+  std::atomic<bool> refused_{false};
+  wire::Client client_;
+  wire::ConnectionLimiter limiter_;
+  wire::Server server_;
+};
+
 // What a case chooses of its deployment.
 struct SiteSpec {
+  bool gates = false;  // each node reaches the state service through a Gate
   int nodes = 3;
   settings::WorkerTimings timings;
   settings::StoreLimits store;
@@ -145,7 +180,14 @@
       platform.cloud_limits = spec.cloud;
       platform.ram_mb = spec.ram_mb;
       platform.fd_limit = spec.fd_limit;
-      store_->listen_for_node(platform.node_name, platform.store_address.port);
+      if (spec.gates) {
+        const std::uint16_t behind = ports_.reserve();
+        store_->listen_for_node(platform.node_name, behind);
+        gates_.push_back(std::make_unique<Gate>(platform.store_address.port,
+                                                wire::Address{"127.0.0.1", behind}));
+      } else {
+        store_->listen_for_node(platform.node_name, platform.store_address.port);
+      }
       fleet.controllers[platform.node_name] = platform.serve_on;
       platforms_.push_back(platform);
     }
@@ -264,6 +306,7 @@
     throw CannotRun("not accepted: " + spec.id);
   }
 
+  Gate& gate(int node) { return *gates_.at(index(node)); }
   lab::StateServer& store() { return *store_; }
   lab::FleetServer& fleet() { return *fleet_; }
   int nodes() const { return spec_.nodes; }
@@ -277,6 +320,7 @@
   Ports ports_;
   std::vector<settings::Platform> platforms_;
   std::unique_ptr<lab::StateServer> store_;
+  std::vector<std::unique_ptr<Gate>> gates_;
   std::unique_ptr<lab::FleetServer> fleet_;
   std::vector<pid_t> pids_;
 };
