Log ends that are not stored yet, and the record behind an answer

The logs show when the leader learns of it and when each end is stored, but not how many ends wait nor for how long, and nothing shows whether a node's answer came from the job's current record or from an older one in its cache.

Change: the leader logs every 5 s how many jobs have ended without their end being stored, if that takes longer than 3 s. At level debug a node logs the revision of the record from which it answers a user.

--- a/src/controller/leader.cpp
+++ b/src/controller/leader.cpp
@@ -301,6 +301,7 @@
   manage_hosts(now);
   advance_schema(now);
   send_next_transaction(now);
+  log_unstored_ends(now);
   request_reads(now);
   release_scale_outs();
   send_deferred_responses(now);
--- a/src/controller/leader.h
+++ b/src/controller/leader.h
@@ -221,6 +221,9 @@
   void store_revision_clock(double now);
   void update_usage(double now);
   void log_usage(double now);
+  // Logs ended jobs whose end has not been stored for long; until then other nodes tell users the
+  // state before.
+  void log_unstored_ends(double now);
   void store_usage(double now);
   void advance_drains(double now);
   void end_drains();
@@ -270,6 +273,8 @@
   std::uint64_t usage_restored_to_revision_ = 0;
   bool usage_unreadable_ = false;
   double usage_updated_at_ = -1e9;
+  std::optional<double> unstored_ends_since_;  // none: the end of every ended job is stored
+  std::optional<double> unstored_ends_logged_at_;
   double next_usage_log_at_;
   double usage_stored_at_;
   kv::RevisionClock revision_clock_;
--- a/src/controller/leader_usage.cpp
+++ b/src/controller/leader_usage.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kMaxLoggedWaitingJobs = 3;
 constexpr double kStoreUsageInterval_s = 30;
 constexpr double kUpdateUsageInterval_s = 1;
+// The end of a job is stored within about a second in normal operation of the key-value store.
+constexpr double kLogUnstoredEndsAfter_s = 3;
+constexpr double kLogUnstoredEndsInterval_s = 5;
 
 }  // namespace
 
@@ -44,6 +47,20 @@
   store_usage(now);
 }
 
+void Leader::log_unstored_ends(double now) {
+  if (cluster_.finished_jobs.empty()) {
+    unstored_ends_since_.reset();
+    return;
+  }
+  if (!unstored_ends_since_) unstored_ends_since_ = now;
+  const double since = std::max(*unstored_ends_since_ + kLogUnstoredEndsAfter_s,
+                                unstored_ends_logged_at_.value_or(0) + kLogUnstoredEndsInterval_s);
+  if (now < since) return;
+  unstored_ends_logged_at_ = now;
+  spdlog::info("the ends of {} jobs are not stored yet, of some for {:.1f} s",
+               cluster_.finished_jobs.size(), now - *unstored_ends_since_);
+}
+
 void Leader::log_usage(double now) {
   next_usage_log_at_ = now + kLogUsageInterval_s;
   spdlog::info("served: {}", shares::describe(usage_.report(cluster_, now)));
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -83,6 +83,8 @@
   switch (lookup.state) {
     case JobState::live: {
       const Header& header = lookup.header;
+      spdlog::debug("job {}: its user is answered from the record of revision {}", id,
+                    lookup.header_revision);
       if (header.cancelled) return cancelled_response(id, header.done);
       return job_response(200, id, header.running > 0 ? "running" : "pending", header.done,
                           header.running);
