Answer for waiting jobs from the jobs that they need, too

Cause: a cancellation reached the jobs behind only in the leader's memory, until a transaction a job had stored its end. Nodes answered from a job's own record, and nothing bounded the age of what lay behind it by cancel_s. The same held for repeated submissions, and for a submission that names a job further back, of which one step was checked.

Change: before a node calls a job pending that has not begun, it checks the jobs that it needs, directly and through others (jobs/dependency_check). A job is known not to be cancelled for cancel_s less 6 s; older, it is read or compared in the requests of status queries, at their rate. If one is cancelled, the node stores that in the job's own record, like a user's cancellation, and answers then. So all nodes, also of older versions, find it in the record that they read for every answer, and nothing is taken back. What cannot be told or stored is 503. A thread can wait for several status queries now: each waiting thread has a condition variable in place of each query, and counters count a user's question when it is answered.

--- /dev/null
+++ b/src/jobs/dependent_jobs_test.cpp
@@ -0,0 +1,262 @@
+// What users are told of jobs that need a cancelled job, by nodes on whose store no leader stores
+// the ends of such jobs: as after an outage of the store, or while the leader is cut off from it.
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "jobs/job_service.h"
+#include "kv/steady_clock.h"
+#include "loopback/state_server.h"
+#include "port_reservations.h"
+
+namespace reachramp::jobs {
+namespace {
+
+constexpr double kLease_s = 0.5, kCancelTime_s = 6;
+constexpr settings::StoreLimits kLimits{400, 200, 4, 8};
+
+const std::string kPending = "200 pending", kAborted = "200 aborted", kDone = "200 done";
+
+void sleep_s(double seconds) {
+  std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+}
+
+settings::Platform platform(const std::string& node, const settings::StoreLimits& limits,
+                            double lease_s) {
+  settings::Platform platform;
+  platform.node_name = node;
+  platform.teams = {{"red", 0, 0, 0, 0}};
+  platform.worker_timings = {0.2, lease_s, 15, 4, kCancelTime_s};
+  platform.store_limits = platform.upcoming_store_limits = limits;
+  for (const char* name : {"node-0", "node-1"}) {
+    if (name != node) platform.members.push_back({name, "a", {"127.0.0.1", 1}});
+  }
+  return platform;
+}
+
+// A controller node as far as users' requests are concerned, with a cache of its own.
+class Node {
+ public:
+  Node(const std::string& name, std::uint16_t store_port,
+       const settings::StoreLimits& limits = kLimits, double lease_s = kLease_s)
+      : platform_(platform(name, limits, lease_s)), store_({"127.0.0.1", store_port}, limits.rps) {}
+
+  std::string submit(const std::string& id, const std::vector<std::string>& depends_on) {
+    Spec spec;
+    spec.id = id;
+    spec.job_class = "c";
+    spec.team = "red";
+    spec.image = "img";
+    spec.cpus = 1;
+    spec.depends_on = depends_on;
+    return shown(service_.submit(wire::encode(encode_spec(spec))));
+  }
+  std::string query(const std::string& id) { return shown(service_.query(id)); }
+  std::string cancel(const std::string& id) { return shown(service_.cancel(id)); }
+
+  // Queries until the answer is no 503, for at most as long as users may be left without one.
+  std::string query_until_answered(const std::string& id) {
+    const double end = kv::steady_now() + 75;
+    std::string answer = query(id);
+    while (answer.starts_with("503") && kv::steady_now() < end) {
+      sleep_s(0.2);
+      answer = query(id);
+    }
+    return answer;
+  }
+
+ private:
+  // Status and phase.
+  static std::string shown(const wire::Response& response) {
+    return fmt::format("{} {}", response.status, response.body.value("phase", ""));
+  }
+
+  const settings::Platform platform_;
+  kv::Client store_;
+  peers::Members members_{store_, platform_};
+  schema::SchemaVersionTracker version_tracker_{store_, platform_, {}};
+  peers::RecentCancellations recent_cancellations_{30, kv::steady_now()};
+  JobService service_{store_, platform_, members_, version_tracker_, recent_cancellations_, [] {
+                        return std::make_shared<const cloud::Catalog>(
+                            cloud::Catalog{{"small", 4, 0, 16, 50, 1, 0.4, 0.1, 5, {"a"}}});
+                      }};
+};
+
+class DependentJobs : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    server_.listen_for_node("all", port_);
+    for (const char* node : {"node-0", "node-1"}) {
+      store(peers::member_key(node), peers::encode_member(peers::kMemberRecordFormat));
+    }
+  }
+
+  void store(const std::string& key, const Json& value) {
+    server_.with_model([&](lab::StateService& model) {
+      model.commit({{}, {{key, value, std::nullopt}}});
+    });
+  }
+  // As a leader ends a job.
+  void end(const std::string& id, bool cancelled) {
+    server_.with_model([&](lab::StateService& model) {
+      model.commit({{},
+                    {{end_key(id), encode_final_state({cancelled, 0}), std::nullopt},
+                     {job_key(id), std::nullopt, std::nullopt}}});
+    });
+  }
+  bool is_stored_as_cancelled(const std::string& id) {
+    return server_.with_model([&](const lab::StateService& model) {
+      return decode_header(model.items().at(job_key(id)).value).cancelled;
+    });
+  }
+  std::uint64_t request_count() {
+    return server_.with_model([](const lab::StateService& model) { return model.request_count(); });
+  }
+  std::uint64_t store_revision() {
+    return server_.with_model(
+        [](const lab::StateService& model) { return model.store_revision(); });
+  }
+  // A chain a, b, c, a diamond (left and right need a, both needs both of them) and a job that
+  // needs two others, of which only one needs a.
+  void submit_jobs_behind_a(Node& node) {
+    ASSERT_EQ(node.submit("j-a", {}), "201 pending");
+    ASSERT_EQ(node.submit("j-other", {}), "201 pending");
+    ASSERT_EQ(node.submit("j-b", {"j-a"}), "201 pending");
+    ASSERT_EQ(node.submit("j-c", {"j-b"}), "201 pending");
+    ASSERT_EQ(node.submit("j-left", {"j-a"}), "201 pending");
+    ASSERT_EQ(node.submit("j-right", {"j-a"}), "201 pending");
+    ASSERT_EQ(node.submit("j-both", {"j-left", "j-right"}), "201 pending");
+    ASSERT_EQ(node.submit("j-two", {"j-other", "j-left"}), "201 pending");
+  }
+
+  test::PortReservations ports_;
+  const std::uint16_t port_ = ports_.reserve();
+  lab::StateServer server_{kLimits, 1};
+};
+
+// The review's case 1: after an outage that began when the first job of a pipeline was cancelled,
+// the jobs behind it were called pending, longer than cancel_s after their user was told.
+TEST_F(DependentJobs, OfACancelledJobAreNotCalledPendingAfterCancelTime) {
+  Node node("node-0", port_), other("node-1", port_);
+  submit_jobs_behind_a(node);
+  for (const char* id : {"j-a", "j-b", "j-c", "j-left", "j-right", "j-both", "j-two"}) {
+    ASSERT_EQ(other.query(id), kPending) << "the other node has cached the job too";
+  }
+  ASSERT_EQ(other.cancel("j-a"), kAborted);
+  sleep_s(kCancelTime_s);
+  Node just_started("node-1", port_);
+  Node* const nodes[] = {&node, &other, &just_started};
+  for (const char* id : {"j-b", "j-c", "j-left", "j-right", "j-both", "j-two"}) {
+    for (Node* asked : nodes) EXPECT_EQ(asked->query_until_answered(id), kAborted) << id;
+    EXPECT_TRUE(is_stored_as_cancelled(id)) << "a node of an older version looks here alone";
+  }
+  EXPECT_EQ(node.query("j-other"), kPending);
+}
+
+// A node that was just started has read nothing before the cancellation.
+TEST_F(DependentJobs, AreCancelledByARepeatedSubmissionAtANodeThatWasJustStarted) {
+  Node node("node-0", port_), just_started("node-1", port_);
+  submit_jobs_behind_a(node);
+  ASSERT_EQ(node.cancel("j-a"), kAborted);
+  EXPECT_EQ(just_started.submit("j-c", {"j-b"}), kAborted);
+  EXPECT_EQ(just_started.cancel("j-two"), kAborted);
+}
+
+// A job that names one behind a cancelled job is as impossible as that one.
+TEST_F(DependentJobs, OfJobsBehindACancelledOneAreAcceptedAsCancelled) {
+  Node node("node-0", port_), just_started("node-1", port_);
+  submit_jobs_behind_a(node);
+  ASSERT_EQ(node.cancel("j-a"), kAborted);
+  EXPECT_EQ(just_started.submit("j-last", {"j-c"}), "201 aborted");
+  EXPECT_TRUE(is_stored_as_cancelled("j-last"));
+  EXPECT_EQ(just_started.submit("j-free", {"j-other"}), "201 pending");
+}
+
+// A cancellation that is answered with `done` cancels nothing.
+TEST_F(DependentJobs, OfAJobThatWasDoneWhenItWasCancelledGoOn) {
+  Node node("node-0", port_), just_started("node-1", port_);
+  submit_jobs_behind_a(node);
+  end("j-a", false);
+  ASSERT_EQ(node.cancel("j-a"), kDone);
+  for (const char* id : {"j-b", "j-c", "j-both", "j-two"}) {
+    EXPECT_EQ(node.query(id), kPending) << id;
+    EXPECT_EQ(just_started.query(id), kPending) << id;
+  }
+  EXPECT_EQ(just_started.submit("j-last", {"j-c"}), "201 pending");
+}
+
+// The end of the cancelled job is stored, those of the jobs behind it are not yet: the leader
+// stores them slower than cancel_s allows, or has ended.
+TEST_F(DependentJobs, AreCancelledToTheUserBeforeTheirOwnEndIsStored) {
+  Node node("node-0", port_), just_started("node-1", port_);
+  submit_jobs_behind_a(node);
+  ASSERT_EQ(node.cancel("j-a"), kAborted);
+  end("j-a", true);
+  end("j-b", true);
+  for (const char* id : {"j-c", "j-both", "j-two"}) {
+    EXPECT_EQ(just_started.query_until_answered(id), kAborted) << id;
+  }
+  end("j-c", true);
+  EXPECT_EQ(node.query("j-c"), kAborted);
+}
+
+// While the store answers nobody nothing certain can be said, and once it does all is as before.
+TEST_F(DependentJobs, HaveNoAnswerInAnOutageAndOneAfterIt) {
+  Node node("node-0", port_);
+  submit_jobs_behind_a(node);
+  ASSERT_EQ(node.cancel("j-a"), kAborted);
+  server_.with_model([](lab::StateService& model) { model.begin_outage(kv::steady_now()); });
+  EXPECT_EQ(node.query("j-c"), "503 ");
+  server_.with_model([](lab::StateService& model) { model.end_outage(kv::steady_now()); });
+  EXPECT_EQ(node.query_until_answered("j-c"), kAborted);
+  EXPECT_EQ(node.query_until_answered("j-both"), kAborted);
+}
+
+// Between two reads of the same jobs a question about one that waits costs no more than any other.
+// The store's limits are small.
+TEST_F(DependentJobs, AskedAboutTakeOneRequestAQuestionWhileNothingChanges) {
+  constexpr int kChainLength = 40, kQuestions = 20;
+  Node node("node-0", port_);
+  const auto id = [](int i) { return fmt::format("j-{}", i); };
+  ASSERT_EQ(node.submit(id(0), {}), "201 pending");
+  for (int i = 1; i < kChainLength; ++i) ASSERT_EQ(node.submit(id(i), {id(i - 1)}), "201 pending");
+  const std::uint64_t before = request_count(), revision = store_revision();
+  for (int i = 0; i < kQuestions; ++i) EXPECT_EQ(node.query(id(kChainLength - 1)), kPending);
+  // What the first question refreshes, in full transactions of 32 comparisons, and the questions.
+  EXPECT_LE(request_count() - before, kQuestions + 4u);
+  EXPECT_EQ(store_revision(), revision)
+      << "a question about a job that is not cancelled writes nothing";
+}
+
+// A node takes a small part of the store's writes, so that the leader can store the ends, and each
+// job is written at most once. Until then its user is told nothing.
+TEST_F(DependentJobs, OfManyCancelledJobsAreWrittenOnceEachAndNotAllAtOnce) {
+  constexpr int kJobs = 30;
+  Node node("node-0", port_);
+  const auto id = [](int i) { return fmt::format("j-{}", i); };
+  ASSERT_EQ(node.submit("j-a", {}), "201 pending");
+  for (int i = 0; i < kJobs; ++i) ASSERT_EQ(node.submit(id(i), {"j-a"}), "201 pending");
+  ASSERT_EQ(node.cancel("j-a"), kAborted);
+  Node just_started("node-1", port_);
+  const std::uint64_t revision = store_revision();
+  const double begin = kv::steady_now();
+  int unanswered = 0, pending = 0;
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < kJobs; ++i) {
+      const std::string answer = just_started.query(id(i));
+      unanswered += answer.starts_with("503");
+      pending += answer == kPending;
+    }
+  }
+  EXPECT_EQ(pending, 0);
+  // A tenth of the store's writes, half of them at this node, and a burst of two.
+  const double allowed = 2 + (kv::steady_now() - begin) * kLimits.write_rps * 0.1 / 2;
+  EXPECT_LE(static_cast<double>(store_revision() - revision), allowed + 1);
+  EXPECT_GT(unanswered, 0);
+  for (int i = 0; i < kJobs; ++i) EXPECT_EQ(just_started.query_until_answered(id(i)), kAborted);
+  EXPECT_EQ(store_revision() - revision, static_cast<std::uint64_t>(kJobs));
+}
+
+}  // namespace
+}  // namespace reachramp::jobs
--- a/src/jobs/job_reader.cpp
+++ b/src/jobs/job_reader.cpp
@@ -21,12 +21,12 @@
 
 }  // namespace
 
-JobReader::JobReader(kv::Client& store, double rps, std::size_t max_preconditions,
-                     bool cancelled_is_final)
+JobReader::JobReader(kv::Client& store, const JobReaderOptions& options)
     : store_(store),
-      max_batch_size_(std::max<std::size_t>(1, max_preconditions)),
-      cancelled_is_final_(cancelled_is_final),
-      token_bucket_(std::max(rps, kMinRate_rps), std::max(rps, kMinRate_rps)) {}
+      max_batch_size_(std::max<std::size_t>(1, options.max_preconditions)),
+      cancelled_is_final_(options.cancelled_is_final),
+      max_dependency_age_s_(options.max_dependency_age_s),
+      token_bucket_(std::max(options.rps, kMinRate_rps), std::max(options.rps, kMinRate_rps)) {}
 
 bool JobReader::is_final(const Lookup& lookup) const {
   return lookup.state == JobState::ended ||
@@ -37,6 +37,7 @@
 // finding neither record proves that the job was not accepted when the read began.
 Lookup JobReader::read(const std::string& id) {
   Lookup lookup;
+  lookup.current_as_of = steady_now();
   try {
     const kv::ReadResult header_read = store_.get(job_key(id));
     if (header_read.outcome == Outcome::ok) {
@@ -60,11 +61,13 @@
   return lookup;
 }
 
-void JobReader::cache_header(const std::string& id, const Header& header, std::uint64_t revision) {
+void JobReader::cache_header(const std::string& id, const Header& header, std::uint64_t revision,
+                             double sent_at) {
   Lookup lookup;
   lookup.state = JobState::live;
   lookup.header = header;
   lookup.header_revision = revision;
+  lookup.current_as_of = sent_at;
   cache(id, lookup);
 }
 
@@ -78,7 +81,9 @@
     if (is_final(cached.lookup)) return;
     if (lookup.state == JobState::ended ||
         lookup.header_revision >= cached.lookup.header_revision) {
+      const double current_as_of = std::max(lookup.current_as_of, cached.lookup.current_as_of);
       cached = {lookup};
+      cached.lookup.current_as_of = current_as_of;
     }
     return;
   }
@@ -90,7 +95,6 @@
 
 Lookup JobReader::read_batched(const std::string& id) {
   const double asked_at = steady_now();
-  const double deadline = asked_at + kBatchedReadTimeout_s;
   std::unique_lock lock(mutex_);
   query_log_.log_if_due(asked_at);
   const auto cached = cache_.find(id);
@@ -101,38 +105,123 @@
     return cached->second.lookup;
   }
   query_log_.record_query(id, asked_at);
-  const QueryPtr query = queue_.join(id, query_log_.unanswered_since(id, asked_at));
-  while (!query->completed) {
-    const double now = steady_now();
-    if (now >= deadline) {
-      queue_.leave(query);
-      query_log_.record_unanswered(UnansweredReason::timed_out);
-      wake_front();
-      return {};
+  BatchedRead read{query_log_.unanswered_since(id, asked_at), asked_at + kBatchedReadTimeout_s};
+  read_all(lock, read, jobs_to_read(read, id));
+  Lookup lookup;
+  const auto own = read.completed.find(id);
+  if (own != read.completed.end()) {
+    lookup = own->second->result;
+    if (lookup.is_waiting()) {
+      lookup.dependencies = check_dependencies(lock, read, lookup.header.spec.depends_on);
     }
-    double wait = deadline - now;
-    if (!queue_.empty() && active_requests_ < kMaxConcurrentRequests) {
-      const double token_wait_s = token_bucket_.take(1, now);
-      if (token_wait_s <= 0) {
-        ++active_requests_;
-        const std::vector<QueryPtr> batch = take_batch();
-        lock.unlock();
-        execute_batch(batch);
-        lock.lock();
-        --active_requests_;
-        wake_front();
-        continue;
-      }
-      // The first query's thread sends the request for the whole batch.
-      if (query == queue_.front()) wait = std::min(wait, token_wait_s);
+  }
+  const bool is_answered =
+      lookup.state != JobState::undetermined &&
+      (!lookup.is_waiting() || lookup.dependencies != DependencyVerdict::undetermined);
+  if (is_answered) {
+    ++(query_log_.counts.*own->second->answered_by);
+    query_log_.record_answered(id);
+  } else {
+    query_log_.record_unanswered(steady_now() >= read.deadline
+                                     ? UnansweredReason::timed_out
+                                     : UnansweredReason::store_unavailable);
+  }
+  return lookup;
+}
+
+DependencyVerdict JobReader::check_dependencies(const std::vector<std::string>& depends_on) {
+  std::unique_lock lock(mutex_);
+  BatchedRead read{.deadline = steady_now() + kBatchedReadTimeout_s};
+  return check_dependencies(lock, read, depends_on);
+}
+
+DependencyVerdict JobReader::check_dependencies(std::unique_lock<std::mutex>& lock,
+                                                BatchedRead& read,
+                                                const std::vector<std::string>& depends_on) {
+  for (;;) {
+    DependencyCheck check = check_known_dependencies(read, depends_on);
+    if (check.verdict != DependencyVerdict::undetermined) return check.verdict;
+    ++query_log_.counts.dependency_reads;
+    check.outdated.resize(std::min(check.outdated.size(), max_batch_size_));
+    if (!read_all(lock, read, check.outdated)) return DependencyVerdict::undetermined;
+  }
+}
+
+DependencyCheck JobReader::check_known_dependencies(
+    const BatchedRead& read, const std::vector<std::string>& depends_on) const {
+  const KnownJobs known_jobs = [&](const std::string& id) -> const Lookup* {
+    const auto completed = read.completed.find(id);
+    if (completed != read.completed.end()) return &completed->second->result;
+    const auto cached = cache_.find(id);
+    return cached == cache_.end() ? nullptr : &cached->second.lookup;
+  };
+  return jobs::check_dependencies(depends_on, known_jobs, steady_now() - max_dependency_age_s_);
+}
+
+std::vector<std::string> JobReader::jobs_to_read(const BatchedRead& read,
+                                                 const std::string& id) const {
+  std::vector<std::string> ids{id};
+  const auto cached = cache_.find(id);
+  if (cached == cache_.end() || !cached->second.lookup.is_waiting()) return ids;
+  const DependencyCheck check =
+      check_known_dependencies(read, cached->second.lookup.header.spec.depends_on);
+  for (const std::string& outdated : check.outdated) {
+    if (ids.size() < max_batch_size_) ids.push_back(outdated);
+  }
+  return ids;
+}
+
+bool JobReader::read_all(std::unique_lock<std::mutex>& lock, BatchedRead& read,
+                         const std::vector<std::string>& ids) {
+  std::vector<QueryPtr> queries;
+  for (const std::string& id : ids) {
+    queries.push_back(queue_.join(id, read.unanswered_since, read.changed));
+  }
+  const auto all_completed = [&] {
+    return std::all_of(queries.begin(), queries.end(),
+                       [](const QueryPtr& query) { return query->completed; });
+  };
+  while (!all_completed()) {
+    const double now = steady_now();
+    if (now >= read.deadline) break;
+    const auto wait_s = send_request_or_wait(lock, queries, read.deadline - now);
+    if (wait_s) read.changed.wait_for(lock, std::chrono::duration<double>(*wait_s));
+  }
+  bool all_determined = true;
+  for (const QueryPtr& query : queries) {
+    if (!query->completed) queue_.leave(query, read.changed);
+    if (query->completed && query->result.state != JobState::undetermined) {
+      read.completed[query->id] = query;
+    } else {
+      all_determined = false;
     }
-    query->changed.wait_for(lock, std::chrono::duration<double>(wait));
   }
-  return query->result;
+  wake_front();
+  return all_determined;
+}
+
+std::optional<double> JobReader::send_request_or_wait(std::unique_lock<std::mutex>& lock,
+                                                      const std::vector<QueryPtr>& own,
+                                                      double max_wait_s) {
+  if (queue_.empty() || active_requests_ >= kMaxConcurrentRequests) return max_wait_s;
+  const double token_wait_s = token_bucket_.take(1, steady_now());
+  if (token_wait_s > 0) {
+    // The thread of the first query sends the request for the whole batch.
+    const bool is_first = std::find(own.begin(), own.end(), queue_.front()) != own.end();
+    return is_first ? std::min(max_wait_s, token_wait_s) : max_wait_s;
+  }
+  ++active_requests_;
+  const std::vector<QueryPtr> batch = take_batch();
+  lock.unlock();
+  execute_batch(batch);
+  lock.lock();
+  --active_requests_;
+  wake_front();
+  return std::nullopt;
 }
 
 void JobReader::wake_front() {
-  if (!queue_.empty()) queue_.front()->changed.notify_all();
+  if (!queue_.empty()) queue_.front()->wake_waiters();
 }
 
 bool JobReader::can_be_compared(const StatusQuery& query) const {
@@ -182,6 +271,7 @@
     }
   }
   if (comparisons.empty()) return;
+  const double sent_at = steady_now();
   const kv::CommitResult compared = store_.commit(transaction);
   std::lock_guard lock(mutex_);
   ++query_log_.counts.comparisons;
@@ -189,8 +279,10 @@
     handle_conflict(comparisons, compared.failed_keys);
     return;
   }
-  for (const Comparison& one : comparisons) {
+  for (Comparison& one : comparisons) {
     if (compared.outcome == Outcome::ok) {
+      one.cached.current_as_of = sent_at;
+      note_current(one.query->id, one.cached);
       complete(*one.query, one.cached, &StatusQueryCounts::answered_by_comparison);
     } else {
       complete_unanswered(*one.query);
@@ -198,6 +290,13 @@
   }
 }
 
+void JobReader::note_current(const std::string& id, const Lookup& lookup) {
+  const auto at = cache_.find(id);
+  if (at == cache_.end() || at->second.lookup.header_revision != lookup.header_revision) return;
+  Lookup& cached = at->second.lookup;
+  cached.current_as_of = std::max(cached.current_as_of, lookup.current_as_of);
+}
+
 // Jobs whose headers have changed are read next. The store need not name all of them, so the others
 // are compared again. All queries keep their places in the queue.
 void JobReader::handle_conflict(const std::vector<Comparison>& comparisons,
@@ -219,18 +318,14 @@
 void JobReader::complete(StatusQuery& query, Lookup lookup,
                          std::uint64_t StatusQueryCounts::*counter) {
   query.result = std::move(lookup);
+  query.answered_by = counter;
   query.completed = true;
-  query.changed.notify_all();
-  if (query.waiters == 0) return;  // all of them have timed out
-  query_log_.counts.*counter += static_cast<std::uint64_t>(query.waiters);
-  query_log_.record_answered(query.id);
+  query.wake_waiters();
 }
 
 void JobReader::complete_unanswered(StatusQuery& query) {
   query.completed = true;
-  query.changed.notify_all();
-  for (int i = 0; i < query.waiters; ++i)
-    query_log_.record_unanswered(UnansweredReason::store_unavailable);
+  query.wake_waiters();
 }
 
 }  // namespace reachramp::jobs
--- a/src/jobs/job_reader.h
+++ b/src/jobs/job_reader.h
@@ -11,10 +11,12 @@
 
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/dependency_check.h"
 #include "jobs/lookup.h"
 #include "jobs/status_query_log.h"
 #include "jobs/status_query_queue.h"
@@ -22,26 +24,44 @@
 
 namespace reachramp::jobs {
 
+// Limits and rules for a JobReader.
+struct JobReaderOptions {
+  double rps = 0;                     // requests per second that status queries may use
+  std::size_t max_preconditions = 1;  // the store's limit per transaction
+  // Whether a cached header that is cancelled answers queries without a request, as a stored final
+  // state always does.
+  bool cancelled_is_final = true;
+  // For how long a job that others need counts as not cancelled after it was read.
+  double max_dependency_age_s = 15;
+};
+
 // Reads jobs, batches status queries within a request rate, and caches what was read. Thread-safe.
 class JobReader {
  public:
-  // `rps`: requests per second that status queries may use. `max_preconditions`: the store's limit
-  // per transaction. `cancelled_is_final`: whether a cached header that is cancelled answers
-  // queries without a request, as a stored final state always does.
-  JobReader(kv::Client& store, double rps, std::size_t max_preconditions,
-            bool cancelled_is_final = true);
+  JobReader(kv::Client& store, const JobReaderOptions& options);
 
-  // Reads the job at once, outside the rate for status queries.
+  // Reads the job at once, outside the rate for status queries and without its dependencies.
   Lookup read(const std::string& id);
-  // Answers a status query, with a request that it may share with other waiting queries. Blocks for
+  // Answers a status query, with requests that it may share with other waiting queries. Blocks for
   // up to about a second; undetermined if no request answered it in that time.
   Lookup read_batched(const std::string& id);
-  // Caches a header that was just stored with this revision, so that the next query about the job
-  // needs a comparison only.
-  void cache_header(const std::string& id, const Header& header, std::uint64_t revision);
+  // Whether one of these jobs, or one that they need, is cancelled. Blocks like read_batched, but
+  // comes before status queries.
+  DependencyVerdict check_dependencies(const std::vector<std::string>& depends_on);
+  // Caches a header that was stored with this revision by a transaction sent at `sent_at`, so that
+  // the next query about the job needs a comparison only.
+  void cache_header(const std::string& id, const Header& header, std::uint64_t revision,
+                    double sent_at);
 
  private:
   using QueryPtr = StatusQueryQueue::QueryPtr;
+  // What one call reads, possibly in several steps.
+  struct BatchedRead {
+    double unanswered_since = 0;                            // determines its place in the queue
+    double deadline = 0;                                    // steady seconds
+    std::condition_variable changed{};                      // the calling thread waits for it
+    std::unordered_map<std::string, QueryPtr> completed{};  // queries with a determined result
+  };
   struct CachedLookup {
     Lookup lookup;
     // A comparison has shown that the header in the store is newer: the job must be read.
@@ -60,15 +80,35 @@
   // Answers all queries of the batch if their cached headers are still current.
   void answer_by_comparison(const std::vector<QueryPtr>& batch);
 
+  // The next three are called with the lock held, and release it while a request is under way.
+  // Reads the jobs. Returns false if the state of one of them was not determined in time.
+  bool read_all(std::unique_lock<std::mutex>& lock, BatchedRead& read,
+                const std::vector<std::string>& ids);
+  // Sends a request for the first queries if the limits allow one now. Otherwise returns for how
+  // long the caller, whose own queries are these, should wait before it tries again at the latest.
+  std::optional<double> send_request_or_wait(std::unique_lock<std::mutex>& lock,
+                                             const std::vector<QueryPtr>& own, double max_wait_s);
+  DependencyVerdict check_dependencies(std::unique_lock<std::mutex>& lock, BatchedRead& read,
+                                       const std::vector<std::string>& depends_on);
+
   // The functions down to wake_front are called under the lock.
+  // Checks with what this call has read, and with what is cached.
+  DependencyCheck check_known_dependencies(const BatchedRead& read,
+                                           const std::vector<std::string>& depends_on) const;
+  // The jobs to read for a query: the job, and those that it is known to need and that are
+  // outdated.
+  std::vector<std::string> jobs_to_read(const BatchedRead& read, const std::string& id) const;
   std::vector<QueryPtr> take_batch();
   bool can_be_compared(const StatusQuery& query) const;
   void handle_conflict(const std::vector<Comparison>& comparisons,
                        const std::vector<std::string>& conflicting_keys);
-  // Ends the query with an answer and counts it once per waiter under `counter`.
-  void complete(StatusQuery& query, Lookup lookup, std::uint64_t StatusQueryCounts::*counter);
+  // Notes that the cached header, if it still has this revision, has been found to be current.
+  void note_current(const std::string& id, const Lookup& lookup);
+  // Ends the query with an answer, which counts under `counter`.
+  static void complete(StatusQuery& query, Lookup lookup,
+                       std::uint64_t StatusQueryCounts::*counter);
   // Ends the query without an answer because the store gave none.
-  void complete_unanswered(StatusQuery& query);
+  static void complete_unanswered(StatusQuery& query);
   // Wakes the first query's waiters, one of which sends the next request.
   void wake_front();
 
@@ -80,6 +120,7 @@
   kv::Client& store_;
   const std::size_t max_batch_size_;
   const bool cancelled_is_final_;
+  const double max_dependency_age_s_;
   std::mutex mutex_;  // guards all below
   kv::TokenBucket token_bucket_;
   StatusQueryLog query_log_;
--- a/src/jobs/job_reader_test.cpp
+++ b/src/jobs/job_reader_test.cpp
@@ -51,7 +51,7 @@
   const std::uint16_t port = ports.reserve();
   server.listen_for_node("all", port);
   kv::Client writer_client({"127.0.0.1", port}, 5000), client({"127.0.0.1", port}, 5000);
-  JobReader reader(client, 2000, 32);
+  JobReader reader(client, {.rps = 2000, .max_preconditions = 32});
   std::array<std::atomic<int>, kJobCount> stored{};
   std::array<std::uint64_t, kJobCount> revisions{};
   for (int job = 0; job < kJobCount; ++job) {
@@ -144,14 +144,14 @@
     });
   };
   kv::Client client({"127.0.0.1", port}, 70);
-  JobReader reader(client, kQueryRate_rps, 32);
+  JobReader reader(client, {.rps = kQueryRate_rps, .max_preconditions = 32});
   // All jobs were accepted by this node, so their headers are cached: reading that many for the
   // first time would take longer than kMaxUnanswered_s.
   for (int job = 0; job < kQueriedJobCount; ++job) {
     change(job, 0);
     const std::uint64_t revision =
         server.with_model([](const lab::StateService& model) { return model.store_revision(); });
-    reader.cache_header(job_id(job), header(job, 0, false), revision);
+    reader.cache_header(job_id(job), header(job, 0, false), revision, kv::steady_now());
   }
   const double begin = kv::steady_now();
   std::atomic<bool> stopping{false};
@@ -188,7 +188,7 @@
 TEST(JobReader, WithoutAStoreTheStateIsUndetermined) {
   test::PortReservations ports;
   kv::Client client({"127.0.0.1", ports.reserve()}, 100);
-  JobReader reader(client, 100, 32);
+  JobReader reader(client, {.rps = 100, .max_preconditions = 32});
   std::vector<std::thread> users;
   for (int user = 0; user < 8; ++user) {
     users.emplace_back([&, user] {
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -18,6 +18,30 @@
 // The share of the key-value store's request rate that status queries on all nodes may use
 // together. Leases, watches, submissions and the leader's records need the rest.
 constexpr double kStatusQueryRateShare = 0.5;
+// The share of the store's write rate with which all nodes together may cancel jobs because of
+// their dependencies. The leader stores the ends of the same jobs and has most of the rest.
+constexpr double kDependentCancellationRateShare = 0.1;
+constexpr double kDependentCancellationBurst = 2;
+// Users wait up to 5 s for an answer: one that takes longer is not received.
+constexpr double kMaxAnswerDelay_s = 6;
+
+std::size_t node_count(const settings::Platform& platform) { return platform.members.size() + 1; }
+
+// A job may be called pending for cancel_s after a job that it needs was cancelled, so that is how
+// old the knowledge of those jobs may be when the answer arrives.
+double max_dependency_age_s(double cancel_s) {
+  return std::max(cancel_s - kMaxAnswerDelay_s, cancel_s / 2);
+}
+
+JobReaderOptions reader_options(const settings::Platform& platform, bool cancelled_is_final) {
+  const settings::StoreLimits& limits = platform.store_limits;
+  return {.rps = limits.rps * kStatusQueryRateShare / static_cast<double>(node_count(platform)),
+          // The store accepts four preconditions for each write that a transaction may have.
+          .max_preconditions =
+              4 * static_cast<std::size_t>(std::max(1, platform.strictest_store_limits().txn_ops)),
+          .cancelled_is_final = cancelled_is_final,
+          .max_dependency_age_s = max_dependency_age_s(platform.worker_timings.cancel_s)};
+}
 
 wire::Response temporarily_unavailable() { return {503, {{"error", "cannot tell now"}}, 1}; }
 wire::Response error_response(int status, const std::string& reason) {
@@ -35,17 +59,16 @@
     : store_(store),
       confirms_cancellation_immediately_(
           leadership::staleness_bound_holds(platform.worker_timings)),
-      job_reader_(
-          store,
-          platform.store_limits.rps * kStatusQueryRateShare / (1.0 + platform.members.size()),
-          // The store accepts four preconditions for each write that a transaction may have.
-          4 * static_cast<std::size_t>(std::max(1, platform.strictest_store_limits().txn_ops)),
-          confirms_cancellation_immediately_),
+      job_reader_(store, reader_options(platform, confirms_cancellation_immediately_)),
       platform_(platform),
       members_(members),
       version_tracker_(version_tracker),
       recent_cancellations_(recent_cancellations),
-      catalog_(std::move(catalog)) {}
+      catalog_(std::move(catalog)),
+      dependent_cancellations_(platform.strictest_store_limits().write_rps *
+                                   kDependentCancellationRateShare /
+                                   static_cast<double>(node_count(platform)),
+                               kDependentCancellationBurst) {}
 
 kv::CommitResult JobService::commit(kv::Transaction transaction) {
   kv::CommitResult not_sent;
@@ -86,6 +109,12 @@
       spdlog::debug("job {}: its user is answered from the record of revision {}", id,
                     lookup.header_revision);
       if (header.cancelled) return cancelled_response(id, header.done);
+      if (lookup.is_waiting()) {
+        if (lookup.dependencies == DependencyVerdict::undetermined) break;
+        if (lookup.dependencies == DependencyVerdict::some_cancelled) {
+          return cancel_dependent(id, lookup);
+        }
+      }
       return job_response(200, id, header.running > 0 ? "running" : "pending", header.done,
                           header.running);
     }
@@ -100,12 +129,25 @@
   return temporarily_unavailable();
 }
 
+wire::Response JobService::cancel_dependent(const std::string& id, const Lookup& lookup) {
+  {
+    const std::lock_guard lock(dependent_cancellations_mutex_);
+    if (dependent_cancellations_.take(1, kv::steady_now()) > 0) return temporarily_unavailable();
+  }
+  spdlog::info("job {} is cancelled because a job that it needs is cancelled", id);
+  return store_cancellation(id, lookup).value_or(temporarily_unavailable());
+}
+
 // The catalog and the teams' limits change over time; a job that was accepted once must not be
 // refused when its submission is repeated.
 wire::Response JobService::stored_state_response_or(const std::string& id,
                                                     const wire::Response& fallback) {
-  const Lookup known = job_reader_.read(id);
-  return known.state == JobState::absent ? fallback : state_response(id, known);
+  Lookup known = job_reader_.read(id);
+  if (known.state == JobState::absent) return fallback;
+  if (known.is_waiting()) {
+    known.dependencies = job_reader_.check_dependencies(known.header.spec.depends_on);
+  }
+  return state_response(id, known);
 }
 
 // Requires that all nodes have been upgraded: a leader of version 0.2.0 would ignore the
@@ -131,7 +173,16 @@
         return temporarily_unavailable();
     }
   }
-  return dependency_cancelled;
+  if (dependency_cancelled) return true;
+  switch (job_reader_.check_dependencies(spec.depends_on)) {
+    case DependencyVerdict::none_cancelled:
+      return false;
+    case DependencyVerdict::some_cancelled:
+      return true;
+    case DependencyVerdict::undetermined:
+      break;
+  }
+  return temporarily_unavailable();
 }
 
 wire::Response JobService::submit(const std::string& body) {
@@ -157,11 +208,12 @@
   kv::Transaction acceptance;
   acceptance.preconditions = {{job_key(id), 0}, {end_key(id), 0}};
   acceptance.writes.push_back({job_key(id), encode_header(header), std::nullopt});
+  const double sent_at = kv::steady_now();
   const kv::CommitResult committed = commit(acceptance);
   if (committed.outcome == Outcome::ok) {
     spdlog::info("job {} accepted: class {} team {} tasks {}", id, header.spec.job_class,
                  header.spec.team, header.spec.tasks);
-    job_reader_.cache_header(id, header, committed.store_revision);
+    job_reader_.cache_header(id, header, committed.store_revision, sent_at);
     return job_response(
         201, id,
         header.cancelled && confirms_cancellation_immediately_ ? kCancelledPhase : "pending");
@@ -175,30 +227,33 @@
   return state_response(id, job_reader_.read_batched(id));
 }
 
+// Conditional on the header's revision, so that a job that has just ended keeps its final state.
+std::optional<wire::Response> JobService::store_cancellation(const std::string& id, Lookup known) {
+  kv::Transaction cancellation;
+  cancellation.preconditions = {{job_key(id), known.header_revision}};
+  known.header.cancelled = true;
+  if (known.header.accepted_revision == 0) known.header.accepted_revision = known.header_revision;
+  Json record = encode_header(known.header);
+  // The header may have been accepted under a higher limit on the length of values. The fields that
+  // are left out are needed to place tasks only.
+  if (!kv::fits(record, platform_.strictest_store_limits().value_kb)) {
+    record = encode_cancelled_header(known.header);
+  }
+  cancellation.writes.push_back({job_key(id), std::move(record), std::nullopt});
+  const double sent_at = kv::steady_now();
+  const kv::CommitResult committed = commit(cancellation);
+  if (committed.outcome == Outcome::conflict) return std::nullopt;
+  if (committed.outcome != Outcome::ok) return temporarily_unavailable();
+  job_reader_.cache_header(id, known.header, committed.store_revision, sent_at);
+  return state_response(id, known);
+}
+
 wire::Response JobService::cancel(const std::string& id) {
   if (!is_job_id(id)) return job_not_found();
   for (int attempt = 0; attempt < 4; ++attempt) {
-    Lookup known = job_reader_.read(id);
+    const Lookup known = job_reader_.read(id);
     if (known.state != JobState::live || known.header.cancelled) return state_response(id, known);
-    // Conditional on the header's revision, so that a job that has just ended keeps its final
-    // state.
-    kv::Transaction cancellation;
-    cancellation.preconditions = {{job_key(id), known.header_revision}};
-    known.header.cancelled = true;
-    if (known.header.accepted_revision == 0) known.header.accepted_revision = known.header_revision;
-    Json record = encode_header(known.header);
-    // The header may have been accepted under a higher limit on the length of values. The fields
-    // that are left out are needed to place tasks only.
-    if (!kv::fits(record, platform_.strictest_store_limits().value_kb)) {
-      record = encode_cancelled_header(known.header);
-    }
-    cancellation.writes.push_back({job_key(id), std::move(record), std::nullopt});
-    const kv::CommitResult committed = commit(cancellation);
-    if (committed.outcome == Outcome::ok) {
-      job_reader_.cache_header(id, known.header, committed.store_revision);
-      return state_response(id, known);
-    }
-    if (committed.outcome != Outcome::conflict) return temporarily_unavailable();
+    if (const auto response = store_cancellation(id, known)) return *response;
   }
   return temporarily_unavailable();
 }
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -11,6 +13,7 @@
 #include "jobs/job_reader.h"
 #include "jobs/spec.h"
 #include "kv/client.h"
+#include "kv/token_bucket.h"
 #include "peers/members.h"
 #include "peers/recent_cancellations.h"
 #include "schema/schema_version_tracker.h"
@@ -40,11 +43,19 @@
  private:
   // The job's state if it has been accepted before, else `fallback`.
   wire::Response stored_state_response_or(const std::string& id, const wire::Response& fallback);
-  // Whether one of the jobs that the spec depends on is cancelled; or the response if the job must
-  // be refused because of them or their state is undetermined.
+  // Whether one of the jobs that the spec depends on, directly or through others, is cancelled; or
+  // the response if the job must be refused because of them or their state is undetermined.
   std::variant<bool, wire::Response> check_dependencies(const Spec& spec);
-  // The response for a job in the state that was looked up.
+  // The response for a job in the state that was looked up. A waiting job that needs a cancelled
+  // one is cancelled first.
   wire::Response state_response(const std::string& id, const Lookup& lookup);
+  // Cancels a waiting job because one that it needs is cancelled. Until this is stored in the job's
+  // own record its user is told nothing, since other nodes, and nodes of older versions, may look
+  // at that record alone.
+  wire::Response cancel_dependent(const std::string& id, const Lookup& lookup);
+  // Stores that the live job is cancelled and returns the response; none if the job's record has
+  // changed since it was read.
+  std::optional<wire::Response> store_cancellation(const std::string& id, Lookup known);
   // The response for a job whose header is cancelled and whose final state is not stored yet.
   wire::Response cancelled_response(const std::string& id, std::uint32_t done);
   // Forms every response that shows a job's state. A cancellation is recorded in
@@ -67,6 +78,9 @@
   schema::SchemaVersionTracker& version_tracker_;
   peers::RecentCancellations& recent_cancellations_;
   CatalogSource catalog_;
+  std::mutex dependent_cancellations_mutex_;
+  // Limits how many dependent jobs this node cancels; guarded by the mutex above.
+  kv::TokenBucket dependent_cancellations_;
 };
 
 }  // namespace reachramp::jobs
--- a/src/jobs/lookup.h
+++ b/src/jobs/lookup.h
@@ -11,12 +11,28 @@
 // was never accepted). undetermined: the store did not say.
 enum class JobState { live, ended, absent, undetermined };
 
+// Whether one of the jobs that a job needs, directly or through others, is cancelled.
+// undetermined: what is known of them is too old or incomplete.
+enum class DependencyVerdict { undetermined, none_cancelled, some_cancelled };
+
 // A job's state with the record that proves it, as of when it was read.
 struct Lookup {
   JobState state = JobState::undetermined;
   Header header;                      // if live
   std::uint64_t header_revision = 0;  // if live
   FinalState final_state;             // if ended
+  // The record was not older than this in the store at this time (steady seconds): a request sent
+  // then has found it.
+  double current_as_of = 0;
+  // Of a job that is waiting (is_waiting): the verdict on the jobs that it needs.
+  DependencyVerdict dependencies = DependencyVerdict::undetermined;
+
+  // Whether the job may still wait for others: it is not cancelled and nothing shows that it has
+  // started. A job that has started needs no other any more.
+  bool is_waiting() const {
+    return state == JobState::live && !header.cancelled && header.done == 0 &&
+           header.running == 0 && !header.spec.depends_on.empty();
+  }
 };
 
 }  // namespace reachramp::jobs
--- a/src/jobs/status_query_log.h
+++ b/src/jobs/status_query_log.h
@@ -25,6 +25,8 @@
   std::uint64_t conflicts = 0;         // of these, how many found a header changed
   std::uint64_t conflicting_keys = 0;  // changed headers that the store named
   std::uint64_t reads = 0;             // jobs read, each with one or two requests
+  // How often a query had to wait until jobs that its job needs were read.
+  std::uint64_t dependency_reads = 0;
 };
 
 // Counts status queries and how they end, and tracks which jobs wait for an answer. Not
--- a/src/jobs/status_query_queue.cpp
+++ b/src/jobs/status_query_queue.cpp
@@ -2,7 +2,8 @@
 
 namespace reachramp::jobs {
 
-StatusQueryQueue::QueryPtr StatusQueryQueue::join(const std::string& id, double unanswered_since) {
+StatusQueryQueue::QueryPtr StatusQueryQueue::join(const std::string& id, double unanswered_since,
+                                                  std::condition_variable& waiter) {
   QueryPtr& query = joinable_by_id_[id];
   if (!query) {
     query = std::make_shared<StatusQuery>();
@@ -11,7 +12,7 @@
     query->arrival_number = ++last_arrival_number_;
     queued_.insert(query);
   }
-  ++query->waiters;
+  query->waiters.push_back(&waiter);
   return query;
 }
 
@@ -23,8 +24,9 @@
   queued_.erase(query);
 }
 
-void StatusQueryQueue::leave(const QueryPtr& query) {
-  if (--query->waiters == 0 && query->queued) remove(query);
+void StatusQueryQueue::leave(const QueryPtr& query, const std::condition_variable& waiter) {
+  std::erase(query->waiters, &waiter);
+  if (query->waiters.empty() && query->queued) remove(query);
 }
 
 StatusQueryQueue::QueryPtr StatusQueryQueue::take_front() {
@@ -45,7 +47,7 @@
 }
 
 void StatusQueryQueue::requeue(const QueryPtr& query) {
-  if (query->waiters == 0) return;
+  if (query->waiters.empty()) return;
   query->queued = true;
   queued_.insert(query);
   joinable_by_id_.try_emplace(query->id, query);
--- a/src/jobs/status_query_queue.h
+++ b/src/jobs/status_query_queue.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "jobs/lookup.h"
+#include "jobs/status_query_log.h"
 
 namespace reachramp::jobs {
 
@@ -22,13 +23,20 @@
   std::string id;
   double unanswered_since = 0;       // since when users have asked about the job without an answer
   std::uint64_t arrival_number = 0;  // ascending in order of arrival
-  int waiters = 0;                   // threads that wait for the result
-  bool queued = true;                // false: a request is under way, or the query is completed
-  bool completed = false;            // `result` is final; undetermined if the request failed
+  // One for each thread that waits for the result. A thread may wait for several queries. A single
+  // one for all threads would wake every one of them for each answer, which used up much of the
+  // node's processor time.
+  std::vector<std::condition_variable*> waiters;
+  bool queued = true;      // false: a request is under way, or the query is completed
+  bool completed = false;  // `result` is final; undetermined if the request failed
   Lookup result;
-  // One per query: a single one for all would wake every waiting thread for each answer, which used
-  // up much of the node's processor time.
-  std::condition_variable changed;
+  // Which counter an answer to a user counts under; set with a determined result.
+  std::uint64_t StatusQueryCounts::*answered_by = nullptr;
+
+  // Wakes all threads that wait for the result.
+  void wake_waiters() const {
+    for (std::condition_variable* waiter : waiters) waiter->notify_all();
+  }
 };
 
 // Owns the queries until they are taken for a request. Not thread-safe.
@@ -39,10 +47,11 @@
   bool empty() const { return queued_.empty(); }
   const QueryPtr& front() const { return *queued_.begin(); }
 
-  // Adds a waiter to the queued query about the job, which is created if there is none.
-  QueryPtr join(const std::string& id, double unanswered_since);
+  // Adds a waiter to the queued query about the job, which is created if there is none. `waiter`
+  // must exist until the query is completed or the waiter has left.
+  QueryPtr join(const std::string& id, double unanswered_since, std::condition_variable& waiter);
   // Removes a waiter; a query without waiters leaves the queue.
-  void leave(const QueryPtr& query);
+  void leave(const QueryPtr& query, const std::condition_variable& waiter);
 
   // Removes and returns the first query. Users can no longer join it, since its request may already
   // have been executed: their answer could then be older than their question.
--- a/test/process_cluster.h
+++ b/test/process_cluster.h
@@ -371,4 +371,20 @@
   std::uint64_t tick_ = 0;
 };
 
+// The key-value store has a port for each node, so that it can refuse a single node.
+class RefusedAlone : public CutOff {
+ protected:
+  std::uint16_t connect_port(int from_node, std::uint16_t to, int to_node) override {
+    if (from_node != to_node) return CutOff::connect_port(from_node, to, to_node);
+    const std::uint16_t port = ports_.reserve();
+    store_->listen_for_node(node_name(from_node), port);
+    return port;
+  }
+  // Makes the key-value store refuse the node, or serve it again.
+  void set_store_refused(int node, bool refused) {
+    store_->with_model(
+        [&](lab::StateService& model) { model.set_refused(node_name(node), refused); });
+  }
+};
+
 }  // namespace reachramp::test
