Accept jobs that need a cancelled one as aborted in every configuration

Seen: where a worker's lease may outlast cancel_s, a submission that names a job that was cancelled long ago is answered `201 pending` (`orphaned`).

Cause: there users see a cancellation only once the job's end is stored, since its tasks may still run; the answer to a new job followed that rule, too, although none of its tasks can have started.

Change: a job that is stored as cancelled is answered `201 aborted`.

--- a/src/jobs/dependent_jobs_test.cpp
+++ b/src/jobs/dependent_jobs_test.cpp
@@ -213,6 +213,26 @@
   EXPECT_EQ(node.query_until_answered("j-both"), kAborted);
 }
 
+// Where a worker's lease may outlast cancel_s, users are told of a cancellation only once the end
+// of the job is stored. A job that names it later was called pending all the same when it was
+// accepted.
+TEST_F(DependentJobs, OfACancelledJobAreAcceptedAsAbortedWhereCancellationsAreConfirmedLate) {
+  Node node("node-0", port_, kLimits, 2 * kCancelTime_s);
+  ASSERT_EQ(node.submit("j-a", {}), "201 pending");
+  ASSERT_EQ(node.submit("j-b", {"j-a"}), "201 pending");
+  ASSERT_EQ(node.cancel("j-a"), "503 ") << "a task may still run";
+  end("j-a", true);
+  ASSERT_EQ(node.cancel("j-a"), kAborted);
+  EXPECT_EQ(node.submit("j-last", {"j-a"}), "201 aborted");
+  Node just_started("node-1", port_, kLimits, 2 * kCancelTime_s);
+  for (const char* id : {"j-b", "j-last"}) {
+    EXPECT_EQ(just_started.query(id), "503 ") << "until the leader has stored its end";
+    EXPECT_TRUE(is_stored_as_cancelled(id));
+    end(id, true);
+    EXPECT_EQ(just_started.query(id), kAborted);
+  }
+}
+
 // Between two reads of the same jobs a question about one that waits costs no more than any other.
 // The store's limits are small.
 TEST_F(DependentJobs, AskedAboutTakeOneRequestAQuestionWhileNothingChanges) {
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -214,9 +214,8 @@
     spdlog::info("job {} accepted: class {} team {} tasks {}", id, header.spec.job_class,
                  header.spec.team, header.spec.tasks);
     job_reader_.cache_header(id, header, committed.store_revision, sent_at);
-    return job_response(
-        201, id,
-        header.cancelled && confirms_cancellation_immediately_ ? kCancelledPhase : "pending");
+    // None of its tasks can have started, so its cancellation can be confirmed at once.
+    return job_response(201, id, header.cancelled ? kCancelledPhase : "pending");
   }
   if (committed.outcome != Outcome::conflict) return temporarily_unavailable();
   return stored_state_response_or(id, temporarily_unavailable());
