--- a/review/stand-2/deployment.h
+++ b/review/stand-2/deployment.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
