--- a/review/8/scenario.cpp
+++ b/review/8/scenario.cpp
@@ -59,7 +59,7 @@
     if (answer.phase == "aborted") return kRuleHeld;
     if (polled_at > told_at + kCancel_s) {
       const bool waits = answer.phase == "pending" || answer.phase == "running";
-      if (with_trouble() && waits) return kRuleBroken;
+      if (with_trouble() && waits) return deployment.all_running() ? kRuleBroken : kCannotRun;
       ++polls_after_bound;
     }
     sleep_s(polled_at + kPollInterval_s - record.now());
--- a/review/stand-2/deployment.h
+++ b/review/stand-2/deployment.h
@@ -9,6 +9,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -41,16 +43,41 @@
 inline constexpr int kRuleHeld = 0;
 inline constexpr int kRuleBroken = 1;
 inline constexpr int kCannotRun = 2;
+// A case counts only if this machine never kept a program waiting for longer.
+inline constexpr double kLongestStall_s = 1;
 
 inline void sleep_s(double seconds) {
   if (seconds > 0) std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
 }
 
-// Whether the case runs with its disruption (the variable TROUBLE is not 0).
-inline bool with_trouble() {
-  const char* value = std::getenv("TROUBLE");
-  return value == nullptr || std::string(value) != "0";
-}
+// Whether the case runs with its disruption: the variable TROUBLE, which run.sh passes on, is not
+// 0.
+inline bool trouble = true;
+inline bool with_trouble() { return trouble; }
+
+// Watches whether this machine lets programs run in time. Where it stalls, a case proves nothing.
+class StallWatch {
+ public:
+  StallWatch() : thread_([this] { run(); }) {}
+  ~StallWatch() {
+    stopping_ = true;
+    thread_.join();
+  }
+  // The longest delay so far of a pause of 0.1 s, in seconds.
+  double longest_s() const { return longest_s_; }
+
+ private:
+  void run() {
+    while (!stopping_) {
+      const double before = kv::steady_now();
+      sleep_s(0.1);
+      longest_s_ = std::max(longest_s_.load(), kv::steady_now() - before - 0.1);
+    }
+  }
+  std::atomic<bool> stopping_{false};
+  std::atomic<double> longest_s_{0};
+  std::thread thread_;
+};
 
 // The file record.txt: what was sent, answered and run, a line each, in seconds since the start.
 class Record {
@@ -190,6 +217,15 @@
       pids_[node] = 0;
     return pids_[node] != 0;
   }
+  // Whether all controllers run. Where one has ended by itself, a case proves nothing.
+  bool all_running() {
+    for (int i = 0; i < site_.nodes; ++i) {
+      if (is_running(i)) continue;
+      record_.say(name_of(i) + " has ended by itself");
+      return false;
+    }
+    return true;
+  }
   // The node that the key `leader` names; -1: none.
   int leader() {
     return store_->with_model([&](const lab::StateService& model) {
@@ -325,10 +361,11 @@
 inline int run_case(int argc, char** argv,
                     const std::function<int(Record&, const std::string& program,
                                             const std::string& folder)>& play) {
-  if (argc != 3) {
-    std::cerr << "usage: " << argv[0] << " PROGRAM RECORD\n";
+  if (argc != 4) {
+    std::cerr << "usage: " << argv[0] << " PROGRAM RECORD TROUBLE\n";
     return kCannotRun;
   }
+  trouble = std::string(argv[3]) != "0";
   ::signal(SIGPIPE, SIG_IGN);
   const std::string folder =
       (std::filesystem::temp_directory_path() / fmt::format("reachramp-review-{}", getpid()))
@@ -336,7 +373,13 @@
   int code = kCannotRun;
   try {
     Record record(argv[2]);
+    record.say(trouble ? "with the disruption" : "without the disruption");
+    const StallWatch stalls;
     code = play(record, argv[1], folder);
+    if (stalls.longest_s() > kLongestStall_s) {
+      record.say(fmt::format("this machine stalled for {:.1f} s", stalls.longest_s()));
+      code = kCannotRun;
+    }
     record.say(code == kRuleBroken ? "the rule was broken"
                : code == kRuleHeld ? "the rule held"
                                    : "the case could not run");
