--- a/review/stand-2/deployment.h
+++ b/review/stand-2/deployment.h
@@ -161,11 +161,12 @@
   lab::StateServer& store() { return *store_; }
   lab::FleetServer& fleet() { return *fleet_; }
 
+  // The process stays in the process group of this program, so that `timeout` ends it, too.
   void start_node(int node) {
     pids_[node] = lab::spawn({.program = program_,
                               .arguments = {"serve", "--config", settings_file(name_of(node))},
                               .log_file = folder_ + "/" + name_of(node) + ".log",
-                              .own_process_group = true});
+                              .own_process_group = false});
     record_.say(fmt::format("{} started", name_of(node)));
   }
   void start_all() {
@@ -223,8 +224,8 @@
     Answer answer;
     if (result.received_response) answer.status = result.status;
     if (answer.status == 200 || answer.status == 201) answer.phase = result.body.value("phase", "");
-    record_.line(fmt::format("user -> {}: {} {} -> {}", name_of(node), method, path,
-                             answer.text()));
+    record_.line(
+        fmt::format("user -> {}: {} {} -> {}", name_of(node), method, path, answer.text()));
     return answer;
   }
   Answer poll(int node, const std::string& id) {
@@ -279,7 +280,9 @@
   int number_of(const settings::Platform& platform) const {
     return static_cast<int>(&platform - platforms_.data());
   }
-  std::string settings_file(const std::string& node) const { return folder_ + "/" + node + ".toml"; }
+  std::string settings_file(const std::string& node) const {
+    return folder_ + "/" + node + ".toml";
+  }
 
   const Site site_;
   Record& record_;
@@ -296,11 +299,25 @@
 
 // The submission of an array of one-core tasks.
 inline Json array_job(const std::string& id, const std::string& team, int tasks) {
-  return {{"ref", id},           {"jobclass", "c"}, {"owner", team},      {"shape", "array"},
-          {"urgency", "normal"}, {"pieces", tasks}, {"vcpus", 1.0},       {"accelerators", 0.0},
-          {"ram_gb", 1.0},       {"bundle", "img"}, {"pull_gb", 0.1},     {"rigs", nullptr},
-          {"hall", nullptr},     {"together", false}, {"scatter", false}, {"loaner", true},
-          {"expected_s", 1.0},   {"snapshot_every_s", 0.0}, {"snapshot_cost_s", 0.0},
+  return {{"ref", id},
+          {"jobclass", "c"},
+          {"owner", team},
+          {"shape", "array"},
+          {"urgency", "normal"},
+          {"pieces", tasks},
+          {"vcpus", 1.0},
+          {"accelerators", 0.0},
+          {"ram_gb", 1.0},
+          {"bundle", "img"},
+          {"pull_gb", 0.1},
+          {"rigs", nullptr},
+          {"hall", nullptr},
+          {"together", false},
+          {"scatter", false},
+          {"loaner", true},
+          {"expected_s", 1.0},
+          {"snapshot_every_s", 0.0},
+          {"snapshot_cost_s", 0.0},
           {"due_s", nullptr}};
 }
 
