Test late copies of start commands after a worker or the leader has returned

Need: on a service like this one a task ran on two machines and a cancelled one ran again, when a late copy of a start command reached a machine once more.

Change: tests only. In the simulated cluster, ten times as many workers restart under their names, while copies of reports and of direct commands come late. The emulated fleet can restart a worker.

--- a/lab/loopback/fleet_server.cpp
+++ b/lab/loopback/fleet_server.cpp
@@ -154,6 +154,27 @@
   return hung;
 }
 
+std::vector<std::string> FleetServer::restart_workers_of(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  const double now = steady_now();
+  std::vector<std::string> restarted;
+  for (auto& [name, running] : workers_) {
+    const auto holds = running->worker->held_tasks();
+    if (std::none_of(holds.begin(), holds.end(),
+                     [&](const auto& held) { return held.first.job == job; })) {
+      continue;
+    }
+    running->worker->terminate(now);
+    check_after_change(*running, now);
+    running->worker = make_worker(name, now);
+    history_.record(now, name, "its worker has restarted");
+    check_after_change(*running, now);
+    running->changed.notify_all();
+    restarted.push_back(name);
+  }
+  return restarted;
+}
+
 wire::Response FleetServer::handle_worker_request(RunningWorker& running,
                                                   const wire::Request& request) {
   std::unique_lock lock(mutex_);
@@ -265,8 +286,6 @@
 
 void FleetServer::add_worker(const std::string& name, double now) {
   const Cloud::Machine& rented = cloud_.machines().at(name);
-  const auto type = std::find_if(spec_.cloud.catalog.begin(), spec_.cloud.catalog.end(),
-                                 [&](const auto& one) { return one.name == rented.type; });
   auto running = std::make_shared<RunningWorker>();
   running->machine = {name, rented.type, rented.zone, rented.spot};
   if (spec_.worker_port != 0) {
@@ -276,14 +295,21 @@
           return handle_worker_request(*raw, request);
         });
   }
+  running->worker = make_worker(name, now);
+  workers_[name] = running;
+  next_lease_end_ = std::min(next_lease_end_, running->worker->lease_ends_at());
+  worker_threads_.run([this, running] { run_worker(running); });
+}
+
+std::unique_ptr<Worker> FleetServer::make_worker(const std::string& name, double now) {
+  const Cloud::Machine& rented = cloud_.machines().at(name);
+  const auto type = std::find_if(spec_.cloud.catalog.begin(), spec_.cloud.catalog.end(),
+                                 [&](const auto& one) { return one.name == rented.type; });
   std::vector<std::string> nodes;
   for (const auto& [node, where] : spec_.controllers) nodes.push_back(node);
-  running->worker = std::make_unique<Worker>(
+  return std::make_unique<Worker>(
       Worker::Machine{name, rented.address, *type, rented.zone, rented.spot, 1, false},
       spec_.workers, std::move(nodes), shared_state_, random_(), now);
-  workers_[name] = running;
-  next_lease_end_ = std::min(next_lease_end_, running->worker->lease_ends_at());
-  worker_threads_.run([this, running] { run_worker(running); });
 }
 
 void FleetServer::remove_worker(const std::string& name, double now) {
--- a/lab/loopback/fleet_server.h
+++ b/lab/loopback/fleet_server.h
@@ -62,6 +62,10 @@
   // Makes every machine that holds a task of the job hang until it is returned. Returns the
   // number of these machines.
   std::size_t hang_machines_of(const std::string& job);
+  // The worker of every machine that holds a task of the job ends, with all its tasks, and a new
+  // one is there at once under the machine's name: its incarnation is 1 again, and it has seen no
+  // fencing token. Returns the names of these machines.
+  std::vector<std::string> restart_workers_of(const std::string& job);
 
  private:
   // What the history records of a worker when it changes.
@@ -86,6 +90,8 @@
   // Body of clock_thread_: handles the cloud's events at their times.
   void run_clock();
   void add_worker(const std::string& machine, double now);
+  // The worker that a machine has when it comes up.
+  std::unique_ptr<Worker> make_worker(const std::string& machine, double now);
   void remove_worker(const std::string& machine, double now);
   // Body of a worker's thread: sends reports and waits for their responses.
   void run_worker(const WorkerPtr& running);
--- a/test/combined_faults_test.cpp
+++ b/test/combined_faults_test.cpp
@@ -151,6 +151,28 @@
   });
 }
 
+// Workers come back under their names within a second, having forgotten everything, also while the
+// leader changes; copies of old reports and of direct commands arrive late, after tasks were
+// cleared, moved or cancelled. No copy may start a task once more.
+TEST(CombinedFaults, WorkersReturnUnderTheirNamesAndMeetLateCopies) {
+  SimulationOptions options = current_version_options();
+  options.worker_restart_probability = 0.003;
+  options.replayed_report_share = 0.3;
+  options.repeated_direct_command_share = 0.5;
+  options.task_duration_s = 12;
+  run_scenario(options, [](SimulatedCluster& cluster) {
+    for (int round = 0; round < 8; ++round) {
+      cluster.submit(array_job(2 * round, "red", 5));
+      cluster.submit(array_job(2 * round + 1, "blue", 8));
+      cluster.run_for(cluster.random_between(4, 14));
+      if (round % 2 == 0) cluster.change_leader();
+      cluster.cancel_running_jobs(round % 4 == 1 ? 8 : 0);
+      cluster.run_for(cluster.random_between(0.5, 6));
+    }
+    return cluster.worker_restart_count() > 5;
+  });
+}
+
 // One-task jobs arrive at four a second for two minutes and a quarter of them are cancelled, while
 // the key-value store accepts 30 writes a second and leaders change.
 TEST(CombinedFaults, OneTaskJobsFourASecondAQuarterCancelled) {
--- a/test/simulated_cluster.cpp
+++ b/test/simulated_cluster.cpp
@@ -403,6 +403,11 @@
       }
     }
   }
+  if (options_.repeated_direct_command_share > 0 &&
+      happens(options_.repeated_direct_command_share)) {
+    schedule(random_between(1, 30),
+             [=, this] { deliver_direct_commands(fencing_token, address, body); });
+  }
   ++machine.sequence_number;
   const workers::Heartbeat report =
       workers::decode_heartbeat(wire::decode_map(wire::encode(make_report(machine))));
--- a/test/simulated_cluster.h
+++ b/test/simulated_cluster.h
@@ -120,6 +120,10 @@
   // Share of reports of which a copy is kept for the next leader.
   double replayed_report_share = 0.02;
   double task_duration_s = 0;  // of every task; 0: depends on the job
+  // Probability, for each machine and step of 0.1 s, that its worker restarts under its name.
+  double worker_restart_probability = 0.0003;
+  // Share of direct commands of which a copy arrives 1 to 30 s later.
+  double repeated_direct_command_share = 0;
 };
 
 // The machine types that the simulated cloud rents out.
@@ -158,6 +162,8 @@
   bool is_team_at_limit(const std::string& team) const;
   // The number of unfinished tasks on machines that belong to cancelled jobs.
   std::size_t running_cancelled_task_count() const;
+  // How often a worker has restarted under its machine's name so far.
+  int worker_restart_count() const { return worker_restart_count_; }
   // The number of copies of reports that wait for the next leader.
   std::size_t pending_report_copy_count() const { return report_copies_.size(); }
   // A uniformly distributed number from the random generator of the simulation.
@@ -374,6 +380,7 @@
   std::map<std::string, SimulatedMachine> machines_;
   std::map<std::string, std::vector<std::string>> rentals_;
   int created_machines_ = 0;
+  int worker_restart_count_ = 0;
   std::vector<ScheduledCall> scheduled_calls_;
   // Copies of reports that wait for the next leader.
   std::vector<workers::Heartbeat> report_copies_;
