--- a/src/jobs/job_reader.cpp
+++ b/src/jobs/job_reader.cpp
@@ -98,7 +98,7 @@
   const double asked_at = steady_now();
   if (auto lookup = cached_final(id, asked_at)) return *lookup;
   const double deadline = asked_at + kBatchedReadTimeout_s;
-  const Lookup lookup = look_up(id, asked_at, deadline);
+  Lookup lookup = look_up(id, asked_at, deadline);
   const std::lock_guard lock(mutex_);
   if (lookup.is_determined()) {
     query_log_.record_answered(id);
