--- a/src/jobs/large_pipelines_test.cpp
+++ b/test/large_pipelines_test.cpp
@@ -62,8 +62,13 @@
  protected:
   static constexpr int kAskedJobs = 60;
 
-  void store_pipeline() {
+  void SetUp() override {
+    UserRequests::SetUp();
     for (int i = 0; i < GetParam().jobs; ++i) store_job(id(i), depends_on(GetParam().shape, i));
+    set_newest_level();
+  }
+  Node node_named(const std::string& name) {
+    return Node(name, port_, kUpcomingLimits, kLease_s, kNodes);
   }
   int last() const { return GetParam().jobs - 1; }
   // Jobs from all over the pipeline, the last one included.
@@ -164,9 +169,7 @@
 // The review's case 8: questions followed 300 jobs at most, so that the last job of a longer chain
 // was called pending after cancel_s.
 TEST_P(LargePipelines, BehindACancelledJobAreCalledCancelledInTimeByWarmAndNewNodes) {
-  store_pipeline();
-  set_newest_level();
-  Node warm("node-0", port_, kUpcomingLimits, kLease_s, kNodes);
+  Node warm = node_named("node-0");
   ASSERT_EQ(warm.query_until_answered(id(last())), kPending);
   const double memory_before = resident_mb();
   std::uint64_t requests = request_count();
@@ -177,7 +180,7 @@
   expect_allowed(at_warm, "warm node");
   print("warm node", at_warm, request_count() - requests, resident_mb() - memory_before);
 
-  Node new_node("node-1", port_, kUpcomingLimits, kLease_s, kNodes);
+  Node new_node = node_named("node-1");
   const double started_at = kv::steady_now();
   const double memory_without = resident_mb();
   requests = request_count();
@@ -190,10 +193,8 @@
 // The same through an outage of the store, in which a node that does not know of the cancellation
 // may say nothing.
 TEST_P(LargePipelinesInAnOutage, BehindACancelledJobAreCalledCancelledAfterIt) {
-  store_pipeline();
-  set_newest_level();
-  Node warm("node-0", port_, kUpcomingLimits, kLease_s, kNodes);
-  Node other("node-1", port_, kUpcomingLimits, kLease_s, kNodes);
+  Node warm = node_named("node-0");
+  Node other = node_named("node-1");
   ASSERT_EQ(warm.query_until_answered(id(last())), kPending);
   ASSERT_EQ(warm.cancel(id(0)), kAborted);
   const double told_at = kv::steady_now();
@@ -216,10 +217,8 @@
 // disappear while their users ask. A submission that names one of them, its repetition and the
 // cancellation of a later one agree with what users are told.
 TEST_P(LargePipelinesWithALeader, AreCalledCancelledWhileItStoresTheirEnds) {
-  store_pipeline();
-  set_newest_level();
-  Node warm("node-0", port_, kUpcomingLimits, kLease_s, kNodes);
-  Node other("node-1", port_, kUpcomingLimits, kLease_s, kNodes);
+  Node warm = node_named("node-0");
+  Node other = node_named("node-1");
   ASSERT_EQ(warm.query_until_answered(id(last())), kPending);
   ASSERT_EQ(warm.cancel(id(0)), kAborted);
   std::atomic<bool> stopping = false;
@@ -236,7 +235,7 @@
   EXPECT_EQ(other.submit(id(last()), depends_on(GetParam().shape, last())), kAborted);
   EXPECT_EQ(warm.cancel(id(last() - 1)), kAborted);
   EXPECT_EQ(other.query(id(last() - 1)), kAborted);
-  Node just_started("node-2", port_, kUpcomingLimits, kLease_s, kNodes);
+  Node just_started = node_named("node-2");
   EXPECT_EQ(just_started.submit("j-latest", {id(last())}), "201 aborted");
   EXPECT_EQ(just_started.query_until_answered(id(last())), kAborted);
   stopping = true;
