--- a/test/late_commands_test.cpp
+++ b/test/late_commands_test.cpp
@@ -4,12 +4,15 @@
 // forgotten all tasks, its incarnation is 1 again, and it has seen no fencing token.
 #include <atomic>
 #include <mutex>
+#include <set>
 
 #include "process_cluster.h"
 
 namespace reachramp::test {
 namespace {
 
+const std::string kHeartbeatPath = "/v1/report";
+
 // Stands before a node's port, passes each request on, and keeps those that carry heartbeats.
 class CopyingProxy {
  public:
@@ -35,6 +38,11 @@
   }
   // How many of the kept requests were answered with a start command, the first time.
   int starts_answered() const { return starts_answered_; }
+  // The heartbeats of workers that were answered with a start command, the first time.
+  std::vector<Json> answered_with_start() {
+    const std::lock_guard lock(mutex_);
+    return answered_with_start_;
+  }
 
  private:
   struct Kept {
@@ -62,6 +70,7 @@
       const int starts = count_starts(answer.body);
       starts_answered_ += starts;
       const std::lock_guard lock(mutex_);
+      if (starts > 0 && request.path == kHeartbeatPath) answered_with_start_.push_back(body);
       // All heartbeats that were answered with a start, and some of the others.
       if (starts > 0 || kept_.size() < kMaxKept) kept_.push_back({request.path, body});
     }
@@ -74,6 +83,7 @@
   std::mutex mutex_;
   std::vector<Kept> kept_;
   std::atomic<int> starts_answered_ = 0;
+  std::vector<Json> answered_with_start_;
   wire::Server server_;
 };
 
@@ -98,17 +108,18 @@
     return port;
   }
 
-  // All bodies that were posted to the workers' own addresses, with the machine's name.
-  std::vector<std::pair<std::string, Json>> direct_orders() {
+  // All bodies that were posted to the workers' own addresses, with the machine's name. Their
+  // copies, which are in the history too, are left out.
+  std::set<std::pair<std::string, Json>> direct_orders() {
     static const std::string kMark = "told directly ";
-    std::vector<std::pair<std::string, Json>> orders;
+    std::set<std::pair<std::string, Json>> orders;
     for (const std::string& line : cloud_->history()) {
       const auto at = line.find(kMark);
       const auto name = line.find("n-");
       if (at == std::string::npos || name == std::string::npos) continue;
       const auto begin = at + kMark.size();
-      orders.emplace_back(line.substr(name, line.find_first_of(" :", name) - name),
-                          Json::parse(line.substr(begin, line.rfind(" -> ") - begin)));
+      orders.emplace(line.substr(name, line.find_first_of(" :", name) - name),
+                     Json::parse(line.substr(begin, line.rfind(" -> ") - begin)));
     }
     return orders;
   }
@@ -131,6 +142,7 @@
     const double end = kv::steady_now() + seconds;
     while (kv::steady_now() < end) {
       for (const auto& proxy : proxies_) proxy->repeat_all();
+      repeat_heartbeats_answered_with_start();
       repeat_direct_orders();
     }
   }
@@ -139,6 +151,21 @@
     for (const auto& proxy : proxies_) starts += proxy->starts_answered();
     return starts;
   }
+  std::vector<Json> answered_with_start() const {
+    std::vector<Json> heartbeats;
+    for (const auto& proxy : proxies_) {
+      for (Json& one : proxy->answered_with_start()) heartbeats.push_back(std::move(one));
+    }
+    return heartbeats;
+  }
+  // Copies at each node, also at those that forward them to the leader.
+  void repeat_heartbeats_answered_with_start() {
+    for (const Json& heartbeat : answered_with_start()) {
+      for (int node = 0; node < kNodeCount; ++node) {
+        call_node(node, "POST", kHeartbeatPath, &heartbeat);
+      }
+    }
+  }
   bool is_held(const std::string& id) { return cloud_->held_task_count(id) > 0; }
 
   std::vector<std::unique_ptr<CopyingProxy>> proxies_;
@@ -162,6 +189,7 @@
     ASSERT_TRUE(within(30, [&] { return job_phase(0, id) == "running" && is_held(id); })) << id;
   }
   EXPECT_GE(starts_answered(), 5) << "the copies contain what was answered with starts";
+  EXPECT_FALSE(answered_with_start().empty());
   // Its machine hangs until it is returned, and the task moves to another one.
   ASSERT_EQ(cloud_->hang_machines_of("j-moved"), 1u);
   ASSERT_TRUE(within(10, [&] {
